Room at a worker is learned from late starts; what is given up is answered at once

Cause one: choose() took room from reports that are 1 to 5 s old (seen_at, free - unseen), so that jobs were held from free workers and queued at full ones. Cause two: useful_until was the client's deadline wherever late_worth is above 0, while choose() sent no late job under pressure: given up, yet not answered. Now: with tells_start a worker has room while our slots there stay under a limit that grows with starts in time and falls by half a slot with each late one; a held job is given up at its aim, and Refuse carries max_retry_after_ms.

--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -30,8 +30,9 @@
 TRUST_MS = 250.0  # a probed report says nothing of a worker's free slots after this
 TRUST_ANSWER_MS = 1000.0  # the same where reports come only with answers: old news beats none
 REPORT_LAG_MS = 250.0  # a job sent this recently may be missing from a report
-START_LATE_MS = 100.0  # a job that starts this long after its send has waited; networks take less
+START_LATE_MS = 60.0  # a job that starts this long after its send has waited; networks take less
 LATE_STARTS = 0.3  # share of late starts at which the pressure stays as it is
+LIMIT_STEP = 0.5  # slots off the limit for each late start: two dispatchers that collide give way by half
 PRESSURE_STEP = 0.3  # slots added to the pressure by each late start or refusal, and
 PRESSURE_GROWTH = 0.1  # this share of it: a burst multiplies the jobs that compete for one free slot
 PRESSURE_MOST = 40.0  # slots: some dispatchers' worth of held jobs for one free slot
@@ -90,6 +91,7 @@
     up: bool = False
     key: int | None = None  # signature: the key of the last job sent there
     own: int = 0  # attempts of ours that are out
+    filled: float = 0.0  # slots they take
     limit: float = 1.0  # attempts of ours it may run while nothing newer is known
     free: float = 0.0  # free slots by the last report
     memory: float | None = None
@@ -134,7 +136,8 @@
         self.expires = now + event.grace_ms - 2 * tick  # a final answer one tick late would break rule 1
         self.slack = max(1.0, kind.aim_ms + (kind.aim_stretch - 1) * (event.hint_ms or 0.0) - lost)
         self.aim_until = now + self.slack  # sent later than this, its answer is late
-        self.useful_until = self.expires if kind.late_worth > 0 else min(self.aim_until, self.expires)
+        # given up and answered at once from here on: late already, it would only make others late
+        self.useful_until = min(self.aim_until, self.expires)
         self.attempts = 0
         self.suspects: list[Attempt] = []  # attempts that are out or may have run, oldest first
         self.barred: set[int] = set()  # workers that did not accept it
@@ -290,6 +293,7 @@
     def count_sent(self, w: Worker, job: Job, now: float) -> None:
         """A job is on its way."""
         w.own += 1
+        w.filled += job.slots
         w.unseen += job.slots
         w.last_sent = now
         w.cold_spent += job.work
@@ -298,13 +302,15 @@
         """An attempt is over: free its slots and judge the worker by it."""
         w = a.worker
         w.own -= 1
+        w.filled -= a.job.slots
         w.unseen = max(0.0, w.unseen - a.job.slots)
         if kind is api.OutcomeKind.SERVED:
             w.strikes = w.refusals = 0
             over = now - a.sent_at - (a.job.hint or self.run_ms) > self.overhead
             self.overhead += OVERHEAD_STEP_MS * (OVERHEAD_AT if over else OVERHEAD_AT - 1)
             self.run_ms += RUN_PART * (now - a.sent_at - self.run_ms)
-            w.limit += 1 / w.limit
+            if not self.settings.tells_start:
+                w.limit += 1 / w.limit
             if not self.settings.tells_start:
                 self.learn_start(False)  # nothing else would bring the pressure down again
         elif kind is api.OutcomeKind.REFUSED:
@@ -456,7 +462,10 @@
 
     def close(self, job: Job) -> None:
         """Give the final answer that is owed: refused where that is true, failed otherwise."""
-        self.actions.append(api.Refuse(job.id) if self.may_refuse(job) else api.Fail(job.id))
+        if self.may_refuse(job):
+            self.actions.append(api.Refuse(job.id, self.settings.max_retry_after_ms))
+        else:
+            self.actions.append(api.Fail(job.id))
         self.end(job)
 
     def end(self, job: Job) -> None:
@@ -496,8 +505,6 @@
         """Best benefit over the run time, by hint or else the key's last time (1 s if none), aged."""
         seconds = job.hint / 1000 if job.hint is not None else self.signatures.seconds.get(job.key, 1.0)
         benefit = BASE_BENEFIT + (MATCH_BENEFIT if job.key in self.signatures.workers else 0.0)
-        if now > job.aim_until:
-            benefit *= job.kind.late_worth  # or late jobs, being old, would make all the others late
         return benefit / max(seconds, 0.001) * (1 + (now - job.arrived) / AGE_MS)
 
 
@@ -610,6 +617,8 @@
             a.started = True
             if self.now - a.sent_at <= START_LATE_MS:
                 self.table.learn_start(False)
+                if a.worker.filled > a.worker.limit - 1:  # only what was tried is learned
+                    a.worker.limit += 1 / a.worker.limit
 
     def note_late_starts(self) -> None:
         """Learn from jobs that have not begun in time; waiting for their start would be to learn too late."""
@@ -618,6 +627,7 @@
             a = unstarted.popleft()
             if not a.started and a.open and self.settings.tells_start:
                 self.table.learn_start(True)
+                a.worker.limit = max(1.0, a.worker.limit - LIMIT_STEP)
 
     def on_stream(self, event: api.StreamStarted) -> None:
         """The answer has begun: the attempt is the client's, and no deadline runs any more."""
@@ -668,8 +678,6 @@
     def choose(self, job: Job) -> Worker | None:
         """The free worker with the best benefit, ties in rendezvous order; probes where news is old."""
         table, now, may_probe = self.table, self.now, self.settings.may_probe
-        if now > job.aim_until and table.pressure >= PRESSURE_HIGH:
-            return None  # it is late already: sent now, it would only make others late
         homes = table.homes(self.signatures.share(job.key), job)
         matches = self.signatures.matches(job.key)
         if len(matches) > 1:
@@ -687,7 +695,10 @@
         for w in (*matches, *order) if matches else order:
             if now < w.suspended_until or now < w.full_until or w.id in barred or kind not in (-1, w.kind):
                 continue
-            if w.seen_at >= oldest:
+            if self.settings.tells_start:
+                # a report is seconds old where it matters most; late starts tell of a full worker at once
+                room = FOREVER if w.filled + slots <= max(w.limit, slots) else 0.0
+            elif w.seen_at >= oldest:
                 room = w.free - w.unseen
             elif may_probe:
                 if job.rounds >= rounds:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -150,3 +150,28 @@
             d.step(now + 50, [outcome(s, SERVED)])
         now += 200
     assert high > 1 and d.table.pressure < 0.2 * high
+
+
+def test_a_job_given_up_is_answered_at_its_aim_and_told_when_to_come_back() -> None:
+    # late_worth once kept it to the client's deadline, so that the client did not ask again
+    kind = api.JobClass(aim_ms=400, deadline_ms=5000, late_worth=0.3)
+    d = started(0, classes=(kind,), max_retry_after_ms=2000.0)
+    d.step(10, [job("a", hint_ms=None)])
+    assert not finals(d.step(400, [api.Timer(0)]))
+    assert finals(d.step(411, [api.Timer(0)])) == [api.Refuse("a", 2000.0)]
+
+
+def test_late_starts_shrink_what_a_worker_is_given_whatever_its_old_reports_say() -> None:
+    # reports seconds old went on showing room at a full worker, and jobs queued there past their aim
+    d = started(1, tells_start=True)
+    now, out = 10.0, 0
+    for i in range(12):
+        for s in sends(d.step(now, [job(f"p{i}", key=i, hint_ms=2000.0)])):
+            out += 1
+            d.step(now + 5, [api.Note(s.job, 0, s.worker, api.Progress.STARTED)])
+        now += 10
+    limit = d.table.workers[1].limit
+    assert 1 < out <= limit + 1 < 12
+    d.step(now, [outcome(api.Send("p0", 1), SERVED)])
+    d.step(now + 300, [api.ProbeResult(1, True, 1.0, {"free_slots": 9.0})])
+    assert d.table.workers[1].limit < limit
