The beanstalkd front, inventory and store; a wake-up lost to an earlier step is kept

Seen first in a test: a put with no worker was answered by the deadline's guard after 5 s, not by the module at its aim. Checked: the module had asked for the wake-up once and does not ask again; Engine._wake kept one timer, and an earlier step took its place. Ruled out: the front's delay, the module's heap of limits. All wake-ups are now kept in a heap (engine.py, _wakes); the busy reply comes at the aim (test_node, test_beanstalk).

--- a/pebbledrift/__main__.py
+++ b/pebbledrift/__main__.py
@@ -14,9 +14,16 @@
 from pebbledrift.config import Config, ConfigError, load
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.engine import Engine
+from pebbledrift.core.model import Answer, Destination
+from pebbledrift.fronts.beanstalk import BeanstalkFront
 from pebbledrift.fronts.platform import PlatformFront
+from pebbledrift.inventory import Host, InventoryError
+from pebbledrift.net.beanstalk import BeanstalkSocket
+from pebbledrift.net.datagrams import PeerSocket
 from pebbledrift.net.front import FrontServer
 from pebbledrift.pool import PoolConfig
+from pebbledrift.store.service import NodeStore
+from pebbledrift.store.table import StoreError
 
 log = logging.getLogger("pebbledrift")
 
@@ -43,25 +50,76 @@
     front = PlatformFront(config, engine, clock, ready)
     fronts = FrontServer(config.limits, front)
     pool.take(config.known, cached=True)
-    server = None
+    peers = None
+    if config.peer_listen is not None and config.peers:
+        _, peers = await loop.create_datagram_endpoint(
+            lambda: PeerSocket(config.limits, config.peers), local_addr=config.peer_listen
+        )
+    store = NodeStore(config, clock, peers)
+    servers: list[asyncio.Server] = []
+    tubes = None
+    if config.beanstalk is not None:
+        tubes = start_beanstalk(config, engine, clock, pool, store)
+        loop.add_signal_handler(signal.SIGHUP, store.reload)
+        servers.append(
+            await loop.create_server(
+                lambda: BeanstalkSocket(config.limits, tubes), *config.beanstalk.listen, backlog=128
+            )
+        )
     if config.listen is not None:
-        server = await loop.create_server(fronts.protocol, *config.listen, backlog=512)
+        servers.append(await loop.create_server(fronts.protocol, *config.listen, backlog=512))
     gc.collect()
     gc.freeze()
-    log.info("started", extra={"node": config.name, "listen": str(config.listen)})
+    for server in servers:
+        for socket in server.sockets:
+            log.info("listening", extra={"address": "{}:{}".format(*socket.getsockname()[:2])})
+    log.info("started", extra={"node": config.name})
     await stopping.wait()
     log.info("stopping", extra={"open": len(engine.open)})
     await asyncio.sleep(config.limits.linger_ms / 1000)
     # the listening socket stays: the workers' call-backs for what is still open come in there
     front.taking = False
     fronts.close_idle()
+    if tubes is not None:
+        tubes.stop()
     await engine.drained()
-    if server is not None:
+    if tubes is not None and tubes.plain:
+        await asyncio.sleep(config.limits.linger_ms / 1000)  # for producers to fetch the last answers
+    for server in servers:
         server.close()
     await pool.stop()
+    store.close()
     log.info("stopped")
 
 
+def start_beanstalk(
+    config: Config, engine: Engine, clock: Clock, pool: PoolConfig, store: NodeStore
+) -> BeanstalkFront:
+    """The beanstalkd front, its workers in the pool, and what an earlier life left open."""
+    assert config.beanstalk is not None
+    tubes = BeanstalkFront(config, config.beanstalk, engine, clock)
+
+    def inventory_changed(hosts: list[Host]) -> None:
+        entries = tubes.take_inventory(hosts)
+        found: dict[int, Destination] = {w.number: w for w in tubes.workers.values()}
+        pool.take_inventory(entries, found)
+
+    def recovered(job: str, origin: str, answer: Answer) -> None:
+        number = job.rpartition(".")[2]
+        if origin and number.isdigit():  # what came by HTTP has lost its client with the old process
+            tubes.post_answer(int(number), origin, answer)
+
+    engine.observers.append(store.observe)
+    engine.observers.append(tubes.observe)
+    store.inventory_changed = inventory_changed
+    store.tubes_changed = tubes.take_tubes
+    tubes.reply_deleted = store.answer_fetched
+    tubes.noted = store.note_put
+    store.load()
+    store.recover(recovered)
+    return tubes
+
+
 def main() -> int:
     """Read the configuration and serve."""
     parser = argparse.ArgumentParser(prog="pebbledrift", description="A dispatcher node.")
@@ -73,7 +131,11 @@
         print(f"pebbledrift: {error}", file=sys.stderr)
         return 2
     logs.setup(config.log_level)
-    asyncio.run(serve(config))
+    try:
+        asyncio.run(serve(config))
+    except (InventoryError, StoreError, OSError) as error:
+        log.error("cannot start", extra={"error": str(error)})
+        return 2
     return 0
 
 
--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field, fields
@@ -13,6 +14,7 @@
 from spoolpier.settings import read_settings
 
 Address = tuple[str, int]
+TUBE = re.compile(r"[A-Za-z0-9+/;.$_()][A-Za-z0-9+/;.$_()-]{0,199}\Z")  # the protocol's rule for names
 
 
 class ConfigError(ValueError):
@@ -34,10 +36,19 @@
     recent_result: int = 4 * 1024
     # counts
     front_sockets: int = 560
+    beanstalk_sockets: int = 400  # only where that front is on
     destination_sockets: int = 340  # together, open and opening
     idle_per_destination: int = 24
     operations: int = 4000
     recent: int = 4096
+    buried_jobs: int = 1000  # kept to be looked at
+    reply_jobs: int = 10_000  # answers kept for producers to fetch
+    reply_ttr_s: int = 60
+    watched_tubes: int = 64
+    store_entries: int = 20_000
+    store_value_bytes: int = 150  # a value has to fit one datagram with its key
+    store_key_bytes: int = 64
+    repair_datagrams: int = 16  # at most, for one digest
     # times
     answer_margin_ms: float = 25.0  # a final answer is decided this long before the client gives up
     busy_retry_ms: float = 500.0
@@ -54,6 +65,30 @@
     watch_retry_most_ms: float = 1000.0
     ready_without_watch_ms: float = 6000.0
     linger_ms: float = 1000.0  # after SIGTERM operations are taken in for this long
+    digest_ms: float = 5000.0  # between digests of the store to the peers; none while it is empty
+    forget_ms: float = 600_000.0  # removed entries are remembered for this long
+    finished_ms: float = 60_000.0  # states of answered operations are kept for this long
+
+
+@dataclass(frozen=True)
+class TubeConfig:
+    """A tube that holds operations: their class and tenant, and where the answers go."""
+
+    name: str
+    job_class: int
+    tenant: int | None = None
+    reply: str = "reply.{id}"
+    key_field: str = ""
+    hint_ms: float = 0.0
+    source: Mapping[str, Any] = field(default_factory=dict)  # as it was written
+
+
+@dataclass(frozen=True)
+class BeanstalkConfig:
+    """The beanstalkd front."""
+
+    listen: Address
+    tubes: tuple[TubeConfig, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +108,9 @@
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
     known: Mapping[str, Any] = field(default_factory=dict)
+    beanstalk: BeanstalkConfig | None = None
+    inventory: str = ""
+    store_file: str = ""
     log_level: str = "info"
 
 
@@ -156,6 +194,60 @@
     return Limits(**values)
 
 
+def read_tube(
+    entry: Mapping[str, Any], where: str, classes: tuple[str, ...], tenants: tuple[str, ...]
+) -> TubeConfig:
+    """One mapped tube, from the operator's file or from the store."""
+    for key in entry:
+        if key not in ("name", "class", "tenant", "reply", "key_field", "hint_ms"):
+            raise ConfigError(f"{where}{key}: unknown")
+    name = text(entry, "name", "", where)
+    if not TUBE.match(name):
+        raise ConfigError(f"{where}name: not a tube's name: {name!r}")
+    if len(name) > Limits.store_key_bytes - len("tube/"):
+        raise ConfigError(f"{where}name: too long for a key of the store: {name!r}")
+    job_class, tenant = text(entry, "class", "", where), text(entry, "tenant", "", where)
+    if job_class not in classes:
+        raise ConfigError(f"{where}class: no such class: {job_class!r}")
+    if tenant and tenant not in tenants:
+        raise ConfigError(f"{where}tenant: no such tenant: {tenant!r}")
+    reply = text(entry, "reply", TubeConfig.reply, where)
+    if not TUBE.match(reply.replace("{id}", "9" * 19)) or reply == name:
+        raise ConfigError(f"{where}reply: not a name for a tube of answers: {reply!r}")
+    return TubeConfig(
+        name=name,
+        job_class=classes.index(job_class),
+        tenant=tenants.index(tenant) if tenant else None,
+        reply=reply,
+        key_field=text(entry, "key_field", "", where),
+        hint_ms=amount(entry.get("hint_ms", 0.0), f"{where}hint_ms"),
+        source=dict(entry),
+    )
+
+
+def read_beanstalk(
+    config: Mapping[str, Any], classes: tuple[str, ...], tenants: tuple[str, ...]
+) -> BeanstalkConfig | None:
+    """The operator's [beanstalk] table; the front is off without one."""
+    if "beanstalk" not in config:
+        return None
+    table = table_of(config["beanstalk"], "beanstalk")
+    for key in table:
+        if key not in ("listen", "tubes"):
+            raise ConfigError(f"beanstalk.{key}: unknown")
+    raw = table.get("tubes", [])
+    if not isinstance(raw, list):
+        raise ConfigError(f"beanstalk.tubes: not a list: {raw!r}")
+    tubes = []
+    for i, entry in enumerate(raw):
+        where = f"beanstalk.tubes[{i}]"
+        tubes.append(read_tube(table_of(entry, where), f"{where}.", classes, tenants))
+    for i, tube in enumerate(tubes):
+        if tube.name in [t.name for t in tubes[:i]] or tube.name in [t.reply for t in tubes]:
+            raise ConfigError(f"beanstalk.tubes[{i}].name: taken already: {tube.name!r}")
+    return BeanstalkConfig(address(table.get("listen"), "beanstalk.listen"), tuple(tubes))
+
+
 def load(environ: Mapping[str, str], path: str | None = None) -> Config:
     """Read the file that the command line or $GW_CONFIG names; the other GW_ variables win over it."""
     where = path or environ.get("GW_CONFIG")
@@ -174,6 +266,14 @@
     def maybe(key: str) -> Address | None:
         return address(config[key], key) if config.get(key) else None
 
+    classes = names(raw.get("classes", []), "settings.classes")
+    tenants = names(raw.get("tenants", []), "settings.tenants")
+    base = Path(where).parent
+
+    def file(key: str) -> str:
+        value = text(config, key, "")
+        return str(base / value) if value else ""
+
     peers = config.get("peers", [])
     if not isinstance(peers, list):
         raise ConfigError(f"peers: not a list: {peers!r}")
@@ -186,8 +286,8 @@
         name=text(config, "name", "node"),
         settings=settings,
         limits=read_limits(config, raw),
-        classes=names(raw.get("classes", []), "settings.classes"),
-        tenants=names(raw.get("tenants", []), "settings.tenants"),
+        classes=classes,
+        tenants=tenants,
         zones=names(raw.get("zones", []), "settings.zones"),
         kinds=names(raw.get("kinds", []), "settings.kinds"),
         seed=seed,
@@ -196,5 +296,8 @@
         peer_listen=maybe("peer_listen"),
         peers=tuple(address(p, f"peers[{i}]") for i, p in enumerate(peers)),
         known=table_of(config.get("known") or {}, "known"),
+        beanstalk=read_beanstalk(config, classes, tenants),
+        inventory=file("inventory"),
+        store_file=file("store_file"),
         log_level=text(config, "log_level", environ.get("PEBBLEDRIFT_LOG", "info")),
     )
--- a/pebbledrift/core/engine.py
+++ b/pebbledrift/core/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import logging
 from collections import OrderedDict
 
@@ -33,7 +34,7 @@
         self.limits = limits
         self.clock = clock
         self.destinations = destinations
-        self.observer: Observer = lambda operation, state: None
+        self.observers: list[Observer] = []
         self.open: dict[str, Operation] = {}
         self.held_bytes = 0
         self._dispatcher = Dispatcher(settings, seed)
@@ -42,6 +43,7 @@
         self._events: list[api.Event] = []
         self._last_step = -1e18
         self._step_timer: asyncio.TimerHandle | None = None
+        self._wakes: list[float] = []  # all that the module has asked for and not had yet
         self._loop = asyncio.get_running_loop()
         self._idle: asyncio.Future[None] | None = None
 
@@ -58,7 +60,7 @@
             self._tell(operation, earlier)
             return
         size = len(operation.work.body)
-        if len(self.open) >= self.limits.operations or self.held_bytes + size > self.limits.held_bytes:
+        if not self.room_for(size):
             # nothing of it has run: a busy reply is true whatever its class
             self._tell(operation, Answer(Verdict.REFUSED, b"", self.limits.busy_retry_ms, "too many open"))
             return
@@ -70,7 +72,7 @@
         self.open[operation.id] = operation
         self.held_bytes += size
         operation.timer = self._loop.call_later(grace / 1000, self._time_is_up, operation)
-        self.observer(operation, "taken")
+        self._observe(operation, "taken")
         self._event(
             api.Arrival(
                 job=operation.id,
@@ -93,6 +95,17 @@
             self._finish(operation, Answer(Verdict.FAILED, reason="client gone"))
             self._event(api.ClientGone(operation.id))
 
+    def room_for(self, size: int) -> bool:
+        """Whether another operation with a body of this size would be taken in."""
+        return len(self.open) < self.limits.operations and self.held_bytes + size <= self.limits.held_bytes
+
+    def withdraw(self, operation: Operation, reason: str) -> None:
+        """Whoever put an operation wants it no more; its answer is owed all the same."""
+        if operation.answer is None:
+            verdict = Verdict.FAILED if operation.may_have_run else Verdict.REFUSED
+            self._finish(operation, Answer(verdict, reason=reason))
+            self._event(api.ClientGone(operation.id))
+
     # -- from the destinations
 
     def ended(
@@ -156,7 +169,10 @@
         self._wake(self.clock.now_ms())
 
     def _wake(self, at_ms: float) -> None:
-        """Have a step at this time, or a period after the last one if that is later."""
+        """Have a step at this time, or a period after the last one if that is later.
+
+        An earlier one may take the timer's place: what the module asked for is kept in _wakes.
+        """
         now = self.clock.now_ms()
         delay = max(at_ms - now, self._last_step + self.settings.tick_ms - now, 0.0) / 1000
         if self._step_timer is not None:
@@ -168,7 +184,11 @@
     def _step(self) -> None:
         self._step_timer = None
         now = self._last_step = self.clock.now_ms()
-        events, self._events = self._events or [api.Timer(0)], []
+        events, self._events = self._events, []
+        # guards against a wake-up lost to an earlier step: the module does not ask for the same one again
+        while self._wakes and self._wakes[0] <= now:
+            heapq.heappop(self._wakes)
+            events.append(api.Timer(0))
         try:
             actions = self._dispatcher.step(now, events)
         except Exception:
@@ -184,6 +204,8 @@
                 self._act(action, now)
             except Exception:
                 log.exception("action failed", extra={"action": type(action).__name__})
+        if self._wakes:
+            self._wake(self._wakes[0])
 
     def _act(self, action: api.Action, now: float) -> None:
         match action:
@@ -211,7 +233,7 @@
                 else:
                     destination.probe()
             case api.Wake(at, _):
-                self._wake(at)
+                heapq.heappush(self._wakes, at)
             case api.WatchList():
                 self.destinations.watch()
             case api.Log(message):
@@ -234,7 +256,14 @@
         operation.attempts.append(attempt)
         delay = max(0.0, expires - now) / 1000
         attempt.timer = self._loop.call_later(delay, self._attempt_timed_out, attempt)
-        self.observer(operation, "sent")
+        try:
+            for observer in self.observers:
+                observer(operation, "sent")
+        except OSError:
+            # guards the promise that intent is on the disk first: what cannot be noted is not sent
+            log.exception("intent not written", extra={"id": operation.id})
+            self._close_attempt(attempt, api.OutcomeKind.NOT_SENT, None)
+            return
         destination.send(attempt)
 
     def _attempt_timed_out(self, attempt: Attempt) -> None:
@@ -270,6 +299,13 @@
         self._event(api.Outcome(operation.id, number, worker, kind, elapsed, done, report))
         self._forget_if_over(operation)
 
+    def _observe(self, operation: Operation, state: str) -> None:
+        for observer in self.observers:
+            try:
+                observer(operation, state)
+            except OSError:
+                log.exception("state not written", extra={"id": operation.id, "state": state})
+
     def _serve(self, operation: Operation, result: bytes) -> None:
         self._finish(operation, Answer(Verdict.SERVED, result))
 
@@ -280,7 +316,7 @@
         operation.answer = answer
         if operation.timer is not None:
             operation.timer.cancel()
-        self.observer(operation, answer.verdict.value)
+        self._observe(operation, answer.verdict.value)
         self._tell(operation, answer)
         self._forget_if_over(operation)
 
--- a/pebbledrift/core/model.py
+++ b/pebbledrift/core/model.py
@@ -83,6 +83,7 @@
     slots: float = 1.0
     memory: float | None = None
     repeat: bool = False
+    origin: str = ""  # where it came in, in its front's words
     attempts: list[Attempt] = field(default_factory=list)
     answer: Answer | None = None
     timer: asyncio.TimerHandle | None = None
--- a/pebbledrift/net/front.py
+++ b/pebbledrift/net/front.py
@@ -53,6 +53,7 @@
         self.current: Message | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.last = False  # no further request is read
+        self.used = False  # a request has come
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -111,8 +112,8 @@
             self._watch_input()
 
     def close_if_idle(self) -> None:
-        """Close, unless a request is being served or read."""
-        if self.current is None and not self.parser.inside and self.transport is not None:
+        """Close, unless a request is being served or read, or the first one is still on its way."""
+        if self.used and self.current is None and not self.parser.inside and self.transport is not None:
             self.transport.close()
 
     def _begin(self, message: Message) -> None:
@@ -120,6 +121,7 @@
             self.timer.cancel()
             self.timer = None
         self.current = message
+        self.used = True
         self.server.handler.handle(self, message)
 
     def _watch_input(self) -> None:
--- a/pebbledrift/pool.py
+++ b/pebbledrift/pool.py
@@ -48,6 +48,7 @@
         self.engine: Engine | None = None
         self.destinations: dict[int, HttpDestination] = {}
         self.extra: dict[int, Destination] = {}  # of another front, from the inventory
+        self.extra_entries: tuple[api.WorkerEntry, ...] = ()
         self.states: dict[int, api.WorkerState] = {}
         self.budget = SocketBudget(config.limits.destination_sockets)
         self.rev = 0
@@ -73,7 +74,17 @@
 
     def serves(self) -> bool:
         """Whether any worker is in service."""
-        return any(s is api.WorkerState.UP for s in self.states.values())
+        extra = [e.state for e in self.extra_entries]
+        return any(s is api.WorkerState.UP for s in (*self.states.values(), *extra))
+
+    def take_inventory(self, entries: tuple[api.WorkerEntry, ...], found: dict[int, Destination]) -> None:
+        """Follow the inventory beside discovery's list."""
+        assert self.engine is not None
+        named = {e.worker for e in entries}
+        gone = [e.worker for e in self.extra_entries if e.worker not in named]
+        removed = [api.WorkerEntry(w, state=api.WorkerState.REMOVED) for w in gone]
+        self.extra, self.extra_entries = found, entries
+        self.engine.pool_changed(api.WorkerList(api.ListForm.DELTA, (*removed, *entries)))
 
     def take(self, news: Mapping[str, Any], cached: bool = False) -> None:
         """Take in a list or its changes; an entry that cannot be read is passed over, and said so."""
@@ -90,6 +101,7 @@
             named = {e.worker for e in entries}
             for worker in [w for w in self.destinations if w not in named]:
                 self._drop(worker)
+            entries += self.extra_entries  # or the module would take the inventory's workers for gone
         form = api.ListForm.CACHED if cached else api.ListForm.FULL if full else api.ListForm.DELTA
         rev = news.get("rev")
         if isinstance(rev, int):
--- /dev/null
+++ b/pebbledrift/store/replica.py
@@ -0,0 +1,119 @@
+"""Replication: entries and digests in datagrams of bounded size, to the peers of the configuration."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import struct
+from typing import Protocol
+
+from pebbledrift.config import Address, Limits
+from pebbledrift.store.table import BUCKETS, Entry, StoreError, Table, Version, bucket
+
+log = logging.getLogger(__name__)
+
+ENTRY, DIGEST = 0x45, 0x44
+_HEAD = struct.Struct("!BQHBH")  # kind, version's time and writer, length of key, of value
+NO_VALUE = 0xFFFF
+
+
+class Datagrams(Protocol):
+    """Sends to one peer; loss is nobody's error."""
+
+    def send(self, data: bytes, peer: Address) -> None:
+        """Send one datagram."""
+
+
+def pack(entry: Entry) -> bytes:
+    """An entry as a datagram."""
+    key, value = entry.key.encode(), entry.value or b""
+    length = NO_VALUE if entry.value is None else len(value)
+    return _HEAD.pack(ENTRY, entry.version.ms, entry.version.writer, len(key), length) + key + value
+
+
+def unpack(data: bytes) -> Entry:
+    """The entry in a datagram; ValueError if there is none."""
+    try:
+        kind, ms, writer, key_length, length = _HEAD.unpack_from(data)
+    except struct.error as error:
+        raise ValueError("too short") from error
+    rest = data[_HEAD.size :]
+    size = 0 if length == NO_VALUE else length
+    if kind != ENTRY or len(rest) != key_length + size:
+        raise ValueError("not an entry")
+    value = None if length == NO_VALUE else rest[key_length:]
+    return Entry(rest[:key_length].decode(), value, Version(ms, writer))
+
+
+def pack_digest(digest: tuple[int, ...]) -> bytes:
+    """A digest as a datagram."""
+    return bytes([DIGEST]) + b"".join(n.to_bytes(6, "big") for n in digest)
+
+
+def unpack_digest(data: bytes) -> tuple[int, ...]:
+    """The digest in a datagram."""
+    if len(data) != 1 + 6 * BUCKETS or data[0] != DIGEST:
+        raise ValueError("not a digest")
+    return tuple(int.from_bytes(data[1 + 6 * i : 7 + 6 * i], "big") for i in range(BUCKETS))
+
+
+class Replica:
+    """Sends local writes to the peers; a digest that differs is answered with a few entries."""
+
+    def __init__(
+        self, table: Table, limits: Limits, peers: tuple[Address, ...], out: Datagrams, seed: int
+    ) -> None:
+        self.table = table
+        self.limits = limits
+        self.peers = peers
+        self.out = out
+        self.random = random.Random(seed)
+        self._loop = asyncio.get_running_loop()
+        table.listeners.append(self._changed)
+        self._digest_later()
+
+    def _changed(self, entry: Entry) -> None:
+        """A local write goes out at once; what a peer sent is not passed on, digests see to that."""
+        if entry.version.writer == self.table.writer:
+            for peer in self.peers:
+                self.out.send(pack(entry), peer)
+
+    def _digest_later(self) -> None:
+        delay = self.limits.digest_ms * self.random.uniform(0.8, 1.2)
+        self._loop.call_later(delay / 1000, self._digest)
+
+    def _digest(self) -> None:
+        self.table.forget(self.table.now_ms() - self.limits.forget_ms)
+        # an empty store says nothing: on the platform every datagram has its price
+        if self.table.entries and self.peers:
+            self.out.send(pack_digest(self.table.digest()), self.random.choice(self.peers))
+        self._digest_later()
+
+    def received(self, data: bytes, peer: Address) -> None:
+        """A datagram has come; what cannot be read is dropped."""
+        try:
+            if data[:1] == bytes([DIGEST]):
+                self._repair(unpack_digest(data), peer)
+            else:
+                entry = unpack(data)
+                self.table.check(entry)
+                # guards the clock of versions against a peer far in the future: it would win for ever
+                if entry.version.ms > self.table.now_ms() + self.limits.forget_ms:
+                    raise StoreError(f"{entry.key}: version from the future")
+                self.table.merge(entry)
+        except (ValueError, RecursionError) as error:
+            log.info("datagram dropped", extra={"peer": str(peer), "reason": str(error)})
+
+    def _repair(self, theirs: tuple[int, ...], peer: Address) -> None:
+        ours = self.table.digest()
+        different = {i for i in range(BUCKETS) if ours[i] != theirs[i]}
+        if not different:
+            return
+        entries = [e for e in self.table.entries.values() if bucket(e.key) in different]
+        self.random.shuffle(entries)
+        for entry in entries[: self.limits.repair_datagrams]:
+            self.out.send(pack(entry), peer)
+        # the peer may hold what is missing here, and says so when it sees this digest
+        if peer in self.peers and self.random.random() < 0.5:
+            self.out.send(pack_digest(ours), peer)
--- /dev/null
+++ b/pebbledrift/store/service.py
@@ -0,0 +1,163 @@
+"""What the node keeps in its store: inventory, mapping of tubes, print of its settings, operation states."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import logging
+from collections.abc import Callable
+from dataclasses import asdict
+
+from pebbledrift.config import Config, ConfigError, TubeConfig, read_tube
+from pebbledrift.core.clock import Clock
+from pebbledrift.core.model import Answer, Operation, Verdict
+from pebbledrift.inventory import Host, InventoryError, host, read
+from pebbledrift.net.datagrams import PeerSocket
+from pebbledrift.store.journal import Journal
+from pebbledrift.store.replica import Replica
+from pebbledrift.store.table import Entry, StoreError, Table
+from spoolpier import interface as api
+
+log = logging.getLogger(__name__)
+
+HOST, TUBE, NODE, OPERATION = "host/", "tube/", "node/", "op/"
+FINAL = frozenset(v.value for v in Verdict)
+
+
+class NodeStore:
+    """The table with its file and its peers, and the node's own records in it."""
+
+    def __init__(self, config: Config, clock: Clock, peers: PeerSocket | None) -> None:
+        self.config = config
+        self.clock = clock
+        self.table = Table(config.limits, config.settings.me, clock.now_ms)
+        self.journal = Journal(config.store_file, self.table) if config.store_file else None
+        if peers is not None:
+            others = tuple(a for i, a in enumerate(config.peers) if i != config.settings.me)
+            replica = Replica(self.table, config.limits, others, peers, config.seed)
+            peers.received = replica.received
+        self.inventory_changed: Callable[[list[Host]], None] = lambda hosts: None
+        self.tubes_changed: Callable[[list[TubeConfig]], None] = lambda tubes: None
+        self._due: set[str] = set()
+        self._loop = asyncio.get_running_loop()
+        self.table.listeners.append(self._changed)
+
+    # -- inventory and configuration
+
+    def load(self) -> None:
+        """Write what this node's files say; what they no longer name is removed."""
+        wanted: dict[str, object] = {}
+        prefixes = []
+        if self.config.inventory:
+            prefixes.append(HOST)
+            wanted.update({HOST + h.name: h.values() for h in read(self.config.inventory)})
+        if self.config.beanstalk is not None and self.config.beanstalk.tubes:
+            prefixes.append(TUBE)
+            for tube in self.config.beanstalk.tubes:
+                wanted[TUBE + tube.name] = {k: v for k, v in tube.source.items() if k != "name"}
+        text = json.dumps(asdict(self.config.settings) | {"me": 0, "zone": 0}, sort_keys=True)
+        wanted[NODE + self.config.name] = hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
+        for prefix in prefixes:
+            for key in [k for k, _ in self.table.items(prefix) if k not in wanted]:
+                self.table.remove(key)
+        for key, value in wanted.items():
+            self.table.set(key, value)
+        self._apply(HOST)
+        self._apply(TUBE)
+
+    def reload(self) -> None:
+        """Read the files again; one that is at fault changes nothing."""
+        try:
+            self.load()
+        except (InventoryError, StoreError) as error:
+            log.error("inventory not taken", extra={"error": str(error)})
+
+    def _changed(self, entry: Entry) -> None:
+        for prefix in (HOST, TUBE):
+            if entry.key.startswith(prefix) and prefix not in self._due:
+                self._due.add(prefix)
+                self._loop.call_soon(self._apply, prefix)
+        ours, told = self.table.get(NODE + self.config.name), self.table.get(entry.key)
+        if entry.key.startswith(NODE) and ours is not None and told not in (None, ours):
+            log.warning("settings differ from a peer's", extra={"peer": entry.key.removeprefix(NODE)})
+
+    def _apply(self, prefix: str) -> None:
+        self._due.discard(prefix)
+        if prefix == HOST:
+            hosts = []
+            for key, value in self.table.items(HOST):
+                try:
+                    hosts.append(host(key.removeprefix(HOST), value, "store"))
+                except (InventoryError, AttributeError) as error:
+                    log.warning("entry passed over", extra={"key": key, "error": str(error)})
+            self.inventory_changed(hosts)
+        else:
+            tubes = []
+            for key, value in self.table.items(TUBE):
+                name = key.removeprefix(TUBE)
+                try:
+                    entry = {**value, "name": name}
+                    tubes.append(read_tube(entry, f"store: {key}.", self.config.classes, self.config.tenants))
+                except (ConfigError, TypeError) as error:
+                    log.warning("entry passed over", extra={"key": key, "error": str(error)})
+            self.tubes_changed(tubes)
+
+    # -- operation states
+
+    def observe(self, operation: Operation, state: str) -> None:
+        """Note a change of state. Before an operation that must not run twice is sent, it is on the disk."""
+        key = self._key(operation.id)
+        self._note(key, state, operation.job_class, operation.origin)
+        once = self.config.settings.classes[operation.job_class].effect is api.Effect.UNSAFE
+        if state == "sent" and once and self.journal is not None:
+            self.journal.sync()
+        if state in FINAL:
+            self._loop.call_later(self.config.limits.finished_ms / 1000, self.table.remove, key)
+
+    def note_put(self, job: str, state: str, tube: TubeConfig) -> None:
+        """Note the state of a job that is acknowledged but whose operation begins only after its delay."""
+        self._note(self._key(job), state, tube.job_class, tube.name)
+
+    def _note(self, key: str, state: str, job_class: int, origin: str) -> None:
+        try:
+            self.table.set(key, [state, job_class, origin[:64]])
+        except StoreError as error:
+            if state == "sent" and self.journal is not None:
+                raise OSError(str(error)) from error
+            log.warning("state not kept", extra={"key": key, "error": str(error)})
+
+    def answer_fetched(self, job: str) -> None:
+        """The producer has its answer: the state is of no more use."""
+        self.table.remove(self._key(job))
+
+    def recover(self, answer: Callable[[str, str, Answer], None]) -> None:
+        """End what an earlier life of this node left open: sent may have run, merely taken has not."""
+        for key, value in list(self.table.items(OPERATION + self.config.name + ".")):
+            job = key.removeprefix(OPERATION)
+            if not isinstance(value, list) or len(value) != 3:
+                log.warning("entry passed over", extra={"key": key})
+                continue
+            state, origin = value[0], str(value[2])
+            if state == "taken":
+                answer(job, origin, Answer(Verdict.REFUSED, reason="restarted"))
+            elif state == Verdict.SERVED.value:
+                answer(job, origin, Answer(Verdict.SERVED, reason="restarted: the result is lost"))
+            else:
+                verdict = Verdict.REFUSED if state == Verdict.REFUSED.value else Verdict.FAILED
+                answer(job, origin, Answer(verdict, reason="restarted"))
+            if state not in FINAL:
+                final = Verdict.REFUSED if state == "taken" else Verdict.FAILED
+                self.table.set(key, [final.value, *value[1:]])
+            self._loop.call_later(self.config.limits.finished_ms / 1000, self.table.remove, key)
+
+    def _key(self, job: str) -> str:
+        """A key that fits, whatever the id."""
+        if len(job.encode()) <= 48:
+            return OPERATION + job
+        return OPERATION + "~" + hashlib.blake2b(job.encode(), digest_size=16).hexdigest()
+
+    def close(self) -> None:
+        """End the file."""
+        if self.journal is not None:
+            self.journal.close()
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,173 @@
+"""The platform's front and the destinations, over sockets, with the program as a process."""
+
+from __future__ import annotations
+
+import socket
+import threading
+
+from tests.node import WAIT, NodeTest, Server, Worker, ask, eventually
+
+
+def serve(worker: Worker, request: Server, job: str) -> None:
+    request.reply(202)
+    worker.call(job, "started")
+    worker.call(job, "done", result=f"ran {job}")
+
+
+def drop(worker: Worker, request: Server, job: str) -> None:
+    request.drop()
+
+
+def keep(worker: Worker, request: Server, job: str) -> None:
+    request.reply(202)
+
+
+class PlatformTest(NodeTest):
+    def test_a_job_is_served_with_what_the_worker_made(self) -> None:
+        worker = Worker("s-1", serve)
+        node, _ = self.platform(worker)
+        self.assertEqual(node.job("a")[::2], (200, b"ran a"))
+        self.assertEqual(node.job("b", "fechamento")[::2], (200, b"ran b"))
+
+    def test_call_backs_before_the_202_twice_and_late_are_all_taken(self) -> None:
+        codes: list[int] = []
+
+        def early(worker: Worker, request: Server, job: str) -> None:
+            codes.extend(worker.call(job, "done", result="once") for _ in range(2))
+            request.reply(202)
+            codes.append(worker.call(job, "failed"))
+            codes.append(worker.call("never-heard-of", "done"))
+
+        node, _ = self.platform(Worker("s-1", early))
+        self.assertEqual(node.job("a")[::2], (200, b"once"))
+        eventually(lambda: len(codes) == 4)
+        self.assertTrue(set(codes) <= {200, 204}, codes)
+
+    def test_a_duplicate_of_an_open_id_and_of_an_answered_one_runs_once(self) -> None:
+        worker = Worker("s-1", keep)
+        node, _ = self.platform(worker)
+        first = node.later("a")
+        worker.jobs.get(timeout=WAIT)
+        second = node.later("a")
+        # the second is known to be in once a later one on the same loop has been taken
+        third = node.later("b", "fechamento")
+        worker.call("a", "done", result="one run")
+        self.assertEqual(first.get(timeout=WAIT)[::2], (200, b"one run"))
+        self.assertEqual(second.get(timeout=WAIT)[::2], (200, b"one run"))
+        self.assertEqual(worker.jobs.get(timeout=WAIT), "b")
+        worker.call("b", "done", result="")
+        self.assertEqual(third.get(timeout=WAIT)[0], 200)
+        self.assertEqual(node.job("a")[::2], (200, b"one run"))
+        self.assertTrue(worker.jobs.empty())
+
+    def test_a_pesagem_whose_connection_breaks_fails_and_is_not_sent_again(self) -> None:
+        workers = [Worker("s-1", drop), Worker("s-2", drop)]
+        node, _ = self.platform(*workers)
+        status = node.job("a")[0]
+        self.assertNotIn(status, (200, 429, 503))  # it may have run: no refusal
+        self.assertEqual(sum(w.jobs.qsize() for w in workers), 1)
+
+    def test_a_fechamento_goes_again_in_its_zone_only(self) -> None:
+        workers = [Worker("s-1", drop), Worker("s-2", drop), Worker("s-3", drop, zone="bento")]
+        node, _ = self.platform(*workers)
+        self.assertNotIn(node.job("a", "fechamento", budget=1.5)[0], (200, 429, 503))
+        counts = [w.jobs.qsize() for w in workers]
+        self.assertTrue(counts in ([1, 1, 0], [0, 0, 1]), counts)
+
+    def test_a_job_turned_away_unstarted_goes_to_another_worker(self) -> None:
+        def full(worker: Worker, request: Server, job: str) -> None:
+            request.reply(503, {"X-Rejected": "1", "X-Load-Report": '{"util":1.0,"x0":0}'})
+
+        workers = [Worker("s-1", full), Worker("s-2", serve)]
+        node, _ = self.platform(*workers)
+        for i in range(6):
+            self.assertEqual(node.job(f"j{i}")[0], 200)
+
+    def test_with_no_worker_left_the_busy_reply_comes_at_the_aim_with_its_advice(self) -> None:
+        worker = Worker("s-1", serve)
+        node, discovery = self.platform(worker)
+        discovery.change(worker.target("terminating"))
+        eventually(lambda: ask(node.address, "GET", "/-/ready")[0] == 503)
+        status, headers, _ = node.job("a", budget=60.0)  # the wait below would fail if it were held back
+        self.assertEqual((status, headers["Retry-After"]), (503, "2.000"))
+        self.assertTrue(worker.jobs.empty())
+
+    def test_an_attempt_out_at_the_clients_time_is_failed_and_cancelled(self) -> None:
+        worker = Worker("s-1", keep)
+        node, _ = self.platform(worker)
+        self.assertNotIn(node.job("a", budget=0.3)[0], (200, 429, 503))
+        self.assertEqual(worker.cancelled.get(timeout=WAIT), "a")
+
+    def test_a_client_that_leaves_ends_its_job(self) -> None:
+        worker = Worker("s-1", keep)
+        node, _ = self.platform(worker)
+        host, _, port = node.address.partition(":")
+        with socket.create_connection((host, int(port))) as client:
+            client.sendall(b"POST /pesagem HTTP/1.1\r\nX-Call-Id: a\r\nContent-Length: 0\r\n\r\n")
+            self.assertEqual(worker.jobs.get(timeout=WAIT), "a")
+        self.assertEqual(worker.cancelled.get(timeout=WAIT), "a")
+
+    def test_malformed_and_oversized_input_is_answered_and_the_node_goes_on(self) -> None:
+        node, _ = self.platform(Worker("s-1", serve))
+        head = b"POST /pesagem HTTP/1.1\r\nX-Call-Id: x\r\n"
+        for data, status in (
+            (b"what is this\r\n\r\n", b"400"),
+            (b"GET / HTTP/3.0\r\n\r\n", b"505"),
+            (head + b"Content-Length: 70000\r\n\r\n", b"413"),
+            (head + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n", b"400"),
+            (head + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n", b"400"),
+            (head + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", b"400"),
+            (head + b"X-Long: " + b"a" * 20000, b"431"),
+            (b"POST /pesagem HTTP/1.1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", b"400"),
+            (b"POST /other HTTP/1.1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", b"404"),
+            (b"GET /pesagem HTTP/1.1\r\nConnection: close\r\n\r\n", b"405"),
+            (b"POST /v1/job-events HTTP/1.1\r\nContent-Length: 1\r\nConnection: close\r\n\r\n[", b"400"),
+        ):
+            host, _, port = node.address.partition(":")
+            with socket.create_connection((host, int(port)), WAIT) as client:
+                client.sendall(data)
+                answer = b"".join(iter(lambda c=client: c.recv(4096), b""))  # type: ignore[misc]
+            self.assertEqual(answer[9:12], status, data[:60])
+        self.assertEqual(node.job("a")[0], 200)
+
+    def test_pipelined_requests_are_answered_in_order(self) -> None:
+        node, _ = self.platform(Worker("s-1", serve))
+        host, _, port = node.address.partition(":")
+        one = b"POST /pesagem HTTP/1.1\r\nX-Call-Id: p%d\r\nContent-Length: 0\r\n%s\r\n"
+        with socket.create_connection((host, int(port)), WAIT) as client:
+            client.sendall(one % (1, b"") + one % (2, b"Connection: close\r\n"))
+            answer = b"".join(iter(lambda: client.recv(4096), b""))
+        self.assertLess(answer.index(b"ran p1"), answer.index(b"ran p2"))
+
+
+class LifeTest(NodeTest):
+    def test_the_watch_survives_an_outage_and_brings_the_drain(self) -> None:
+        workers = [Worker("s-1", serve), Worker("s-2", serve)]
+        node, discovery = self.platform(*workers)
+        discovery.asked.get(timeout=WAIT)
+        discovery.targets[0] = workers[0].target("terminating")
+        discovery.watches[-1].put(None)
+        self.assertIn("since=7", discovery.asked.get(timeout=WAIT))
+        discovery.change(workers[1].target("terminating"))
+        eventually(lambda: ask(node.address, "GET", "/-/ready")[0] == 503)
+
+    def test_sigterm_answers_what_is_open_and_refuses_what_comes_later(self) -> None:
+        worker, other = Worker("s-1", keep), Worker("s-2", keep)
+        other.jobs = worker.jobs
+        node, _ = self.platform(worker, other)
+        first = node.later("a", "fechamento", 20.0)
+        self.assertEqual(worker.jobs.get(timeout=WAIT), "a")
+        ended: list[int] = []
+        ending = threading.Thread(target=lambda: ended.append(node.terminate()))
+        ending.start()
+        eventually(lambda: ask(node.address, "GET", "/-/ready")[0] == 503)
+        second = node.later("b")  # within the second: taken in as ever
+        self.assertEqual(worker.jobs.get(timeout=WAIT), "b")
+        (worker if "b" in worker.taken else other).call("b", "done", result="still")
+        self.assertEqual(second.get(timeout=WAIT)[::2], (200, b"still"))
+        eventually(lambda: node.job("late", "fechamento", 0.2)[2] == b"stopping")
+        (worker if "a" in worker.taken else other).call("a", "done", result="to the end")
+        self.assertEqual(first.get(timeout=WAIT)[::2], (200, b"to the end"))
+        ending.join(WAIT)
+        self.assertEqual(ended, [0])
+        self.assertFalse([line for line in node.log if "level=error" in line])
