--- a/pebbledrift/__main__.py
+++ b/pebbledrift/__main__.py
@@ -52,9 +52,11 @@
     pool.take(config.known, cached=True)
     peers = None
     if config.peer_listen is not None and config.peers:
-        _, peers = await loop.create_datagram_endpoint(
+        transport, peers = await loop.create_datagram_endpoint(
             lambda: PeerSocket(config.limits, config.peers), local_addr=config.peer_listen
         )
+        address = "{}:{}".format(*transport.get_extra_info("sockname")[:2])
+        log.info("peers", extra={"address": address})
     store = NodeStore(config, clock, peers)
     servers: list[asyncio.Server] = []
     tubes = None
@@ -76,9 +78,11 @@
     log.info("started", extra={"node": config.name})
     await stopping.wait()
     log.info("stopping", extra={"open": len(engine.open)})
-    await asyncio.sleep(config.limits.linger_ms / 1000)
-    # the listening socket stays: the workers' call-backs for what is still open come in there
+    fronts.closing = True  # answers from here on close their connections
+    await asyncio.sleep(config.limits.take_ms / 1000)
     front.taking = False
+    await asyncio.sleep(max(0.0, config.limits.linger_ms - config.limits.take_ms) / 1000)
+    # the listening socket stays: the workers' call-backs for what is still open come in there
     fronts.close_idle()
     if tubes is not None:
         tubes.stop()
--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -36,7 +36,7 @@
     recent_result: int = 4 * 1024
     # counts
     front_sockets: int = 560
-    beanstalk_sockets: int = 400  # only where that front is on
+    beanstalk_sockets: int = 300  # only where that front is on; the others then have less
     destination_sockets: int = 340  # together, open and opening
     idle_per_destination: int = 24
     operations: int = 4000
@@ -53,7 +53,7 @@
     answer_margin_ms: float = 25.0  # a final answer is decided this long before the client gives up
     busy_retry_ms: float = 500.0
     connect_ms: float = 250.0
-    accept_ms: float = 3000.0  # a worker's 202
+    accept_ms: float = 1500.0  # a worker's 202: it takes some round trips; none by then means cut off
     probe_ms: float = 400.0
     cancel_ms: float = 2000.0
     idle_ms: float = 30_000.0  # destinations close theirs after limits.idle_close_ms; ours go well before
@@ -64,7 +64,8 @@
     watch_retry_ms: float = 200.0
     watch_retry_most_ms: float = 1000.0
     ready_without_watch_ms: float = 6000.0
-    linger_ms: float = 1000.0  # after SIGTERM operations are taken in for this long
+    take_ms: float = 600.0  # after SIGTERM operations are taken in for this long: later ones may meet SIGKILL
+    linger_ms: float = 1000.0  # and connections stay open on which nothing is owed
     digest_ms: float = 5000.0  # between digests of the store to the peers; none while it is empty
     forget_ms: float = 600_000.0  # removed entries are remembered for this long
     finished_ms: float = 60_000.0  # states of answered operations are kept for this long
@@ -174,8 +175,13 @@
     sockets = int(amount(machine.get("sockets", 1024), "limits.sockets"))
     if sockets < 64:
         raise ConfigError(f"limits.sockets: at least 64 are needed, not {sockets}")
-    values["front_sockets"] = sockets * 55 // 100
-    values["destination_sockets"] = sockets * 33 // 100
+    if "beanstalk" in config:
+        values["beanstalk_sockets"] = sockets * 30 // 100
+        values["front_sockets"] = sockets * 30 // 100
+        values["destination_sockets"] = sockets * 28 // 100
+    else:
+        values["front_sockets"] = sockets * 55 // 100
+        values["destination_sockets"] = sockets * 33 // 100
     site = table_of(settings.get("limits", {}), "settings.limits")
     if "connect_timeout_ms" in site:
         values["connect_ms"] = amount(site["connect_timeout_ms"], "settings.limits.connect_timeout_ms")
--- a/pebbledrift/core/engine.py
+++ b/pebbledrift/core/engine.py
@@ -52,8 +52,12 @@
     def submit(self, operation: Operation) -> None:
         """Take an operation in. A repeat of a known id gets that one's answer and is not run again."""
         known = self.open.get(operation.id)
-        if known is not None and known.answer is None:
-            known.recipients.extend(operation.recipients)
+        if known is not None:
+            if known.answer is None:
+                known.recipients.extend(operation.recipients)
+            else:
+                # answered, but an attempt is still being ended: taken for new, it would run again
+                self._tell(operation, known.answer)
             return
         earlier = self._recent.get(operation.id)
         if earlier is not None:
--- a/pebbledrift/net/destinations.py
+++ b/pebbledrift/net/destinations.py
@@ -47,6 +47,18 @@
         self.pool = pool
         self.exchange: Exchange | None = None
         self.closed = False
+        self.unwritten = False  # bytes of the request have not left the process
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        assert isinstance(transport, asyncio.Transport)
+        transport.set_write_buffer_limits(high=0)  # each byte that waits is told
+
+    def pause_writing(self) -> None:
+        self.unwritten = True
+
+    def resume_writing(self) -> None:
+        self.unwritten = False
 
     def message_received(self, message: Message) -> None:
         if message.second.startswith("1"):
@@ -76,7 +88,7 @@
         self.pool.lost(self)
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
-            exchange.broken(self.transport)
+            exchange.broken(self.unwritten)
 
 
 class Exchange:
@@ -99,10 +111,9 @@
         """The response is there."""
         self._end(message, api.OutcomeKind.SERVED)
 
-    def broken(self, transport: asyncio.Transport | None) -> None:
+    def broken(self, unwritten: bool) -> None:
         """The connection ended first. Only bytes still unwritten prove that the request never ran."""
-        unsent = transport is not None and transport.get_write_buffer_size() > 0
-        self._end(None, api.OutcomeKind.NO_CONNECTION if unsent else api.OutcomeKind.BROKEN)
+        self._end(None, api.OutcomeKind.NO_CONNECTION if unwritten else api.OutcomeKind.BROKEN)
 
     def unreached(self) -> None:
         """No connection came up."""
--- a/pebbledrift/net/front.py
+++ b/pebbledrift/net/front.py
@@ -38,7 +38,6 @@
 
     def close_idle(self) -> None:
         """Close the sockets on which nothing is owed; the others close with their answer."""
-        self.closing = True
         for socket in list(self.sockets):
             socket.close_if_idle()
 
--- a/pebbledrift/pool.py
+++ b/pebbledrift/pool.py
@@ -52,6 +52,7 @@
         self.states: dict[int, api.WorkerState] = {}
         self.budget = SocketBudget(config.limits.destination_sockets)
         self.rev = 0
+        self.unknown: set[str] = set()
         self.heard = config.discovery is None
         self.random = random.Random(config.seed)
         self._watching: asyncio.Task[None] | None = None
@@ -116,6 +117,11 @@
             return api.WorkerEntry(worker, state=state)
         self._place(worker, address(target["endpoint"], "endpoint"))
         self.states[worker] = state
+        for key, names in (("az", self.config.zones), ("model", self.config.kinds)):
+            value = target.get(key)
+            if isinstance(value, str) and value not in names and value not in self.unknown:
+                self.unknown.add(value)
+                log.warning("not in the settings", extra={"key": key, "value": value})
         return api.WorkerEntry(
             worker=worker,
             zone=index(self.config.zones, target.get("az", 0)),
--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -597,10 +597,7 @@
     def on_outcome(self, event: api.Outcome) -> None:
         """An attempt ended: the job is done, or looks for another worker, or gets its final answer."""
         if event.kind is api.OutcomeKind.SERVED:
-            # a slot is free: all held jobs compete for it by rank, not the first whose retry comes round
-            for held in self.held.jobs.values():
-                if not held.awaited:
-                    held.retry_at = self.now
+            self.compete()
         job = self.ledger.outcome(event, self.now)
         if job is None or job.is_open:
             return
@@ -610,6 +607,12 @@
         else:
             self.ledger.close(job)
 
+    def compete(self) -> None:
+        """A slot is free: all held jobs compete for it by rank, not the first whose retry comes round."""
+        for held in self.held.jobs.values():
+            if not held.awaited:
+                held.retry_at = self.now
+
     def on_note(self, event: api.Note) -> None:
         """A job has begun or goes on."""
         a = self.ledger.out.get((event.job, event.attempt))
@@ -641,9 +644,11 @@
         w = self.table.workers.get(event.worker)
         if w is None:
             return
-        w.probe_sent = NEVER
+        asked, w.probe_sent = w.probe_sent > NEVER, NEVER
         if event.ok:
             self.table.take_report(w, event.report, self.now)
+            if not asked and w.free >= 1:
+                self.compete()  # a slot told unasked
         else:
             self.table.suspend(w, self.now)
         for job in w.waiters:
--- a/tests/test_beanstalk.py
+++ b/tests/test_beanstalk.py
@@ -7,11 +7,14 @@
 import re
 import socket
 import threading
+import time
 from typing import Any
 
 import greenstalk
 
-from tests.node import SETTINGS, WAIT, Node, NodeTest, eventually
+from pebbledrift.store.replica import pack, unpack
+from pebbledrift.store.table import Entry, Version
+from tests.node import SETTINGS, WAIT, Node, NodeTest, ask, eventually
 
 LIMITS = {**SETTINGS["limits"], "probes": True}
 BEANSTALK_SETTINGS = {**SETTINGS, "limits": LIMITS, "discovery": "push", "family_info": {}}
@@ -67,6 +70,9 @@
         found: dict[str, Any] = json.loads(body)
         return found
 
+    def tubes(self) -> list[str]:
+        return self.body(self.ask("list-tubes")).decode().split("\n- ")
+
     def stats(self, command: str) -> dict[str, str]:
         first = self.ask(command)
         assert first.startswith("OK"), first
@@ -280,6 +286,43 @@
         self.assertEqual((answer["id"], answer["verdict"]), (waiting, "refused"))
         self.assertEqual(worker.ask("reserve-with-timeout 0"), "TIMED_OUT")
 
+    def test_a_peer_brings_inventory_and_tubes_and_is_told_of_operations(self) -> None:
+        peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(peer.close)
+        peer.bind(("127.0.0.1", 0))
+        peer.settimeout(WAIT)
+        node = self.start(
+            listen="127.0.0.1:0",
+            peer_listen="127.0.0.1:0",
+            peers=["127.0.0.1:1", f"127.0.0.1:{peer.getsockname()[1]}"],
+            beanstalk={"listen": "127.0.0.1:0"},
+            settings={**BEANSTALK_SETTINGS, "balancers": 2},
+        )
+        self.assertEqual(ask(node.address, "GET", "/-/ready")[0], 503)
+        to = ("127.0.0.1", int(re.findall(r"event=peers address=\S+:(\d+)", "".join(node.log))[0]))
+        now = Version(int(time.time() * 1000), 1)
+        for key, value in (
+            ("host/w1", {"zone": "caxias"}),
+            ("tube/pesagem.acme", {"class": "pesagem"}),
+            ("tube/bad", {"class": "no-such"}),
+            ("host/bad", {"cell": "x"}),
+        ):
+            peer.sendto(pack(Entry(key, json.dumps(value).encode(), now)), to)
+        peer.sendto(b"E" * 300, to)
+        eventually(lambda: ask(node.address, "GET", "/-/ready")[0] == 200)
+        producer, worker = self.client(node), self.client(node, "w1")
+        producer.ask("use pesagem.acme")
+        eventually(lambda: "pesagem.acme" in producer.tubes())
+        number = producer.put("pesagem.acme")
+        self.assertEqual(worker.reserve()[0], number)
+        told: list[str] = []
+        while f'op/n0.{number} "sent"' not in told:
+            data = peer.recv(2048)
+            self.assertLessEqual(len(data), 256)
+            if data[:1] == b"E":
+                entry = unpack(data)
+                told.append(f"{entry.key} {json.dumps(json.loads(entry.value or b'0')[:1])[1:-1]}")
+
     def test_greenstalk_drives_it(self) -> None:
         node = self.front()
         host, _, port = node.addresses[0].partition(":")
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,134 @@
+"""Configuration, inventory and log lines: what is at fault is named."""
+
+from __future__ import annotations
+
+import json
+import logging
+import tempfile
+import tomllib
+import unittest
+from pathlib import Path
+from typing import Any
+
+from pebbledrift import inventory
+from pebbledrift.config import Config, ConfigError, load
+from pebbledrift.logs import KeyValueFormatter
+from pebbledrift.pool import worker_number
+from tests.node import SETTINGS
+
+DEPLOY = Path(__file__).parent.parent / "deploy"
+
+
+class ConfigTest(unittest.TestCase):
+    def read(self, environ: dict[str, str] | None = None, **config: Any) -> Config:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "c.json"
+            path.write_text(json.dumps({"settings": SETTINGS, **config}))
+            return load({"GW_CONFIG": str(path), **(environ or {})})
+
+    def test_the_environment_wins_and_limits_follow_the_sockets(self) -> None:
+        few = {"limits": {"sockets": 200}, "node": {"recent": 5}}
+        found = self.read({"GW_LISTEN": "127.0.0.9:81"}, listen="x:1", **few)
+        self.assertEqual(found.listen, ("127.0.0.9", 81))
+        self.assertLess(found.limits.front_sockets + found.limits.destination_sockets, 190)
+        self.assertEqual(found.limits.recent, 5)
+        limits = self.read({}, beanstalk={"listen": "x:1"}, **few).limits
+        both = limits.front_sockets + limits.beanstalk_sockets
+        self.assertLess(both + limits.destination_sockets, 190)
+
+    def test_idle_destinations_are_closed_well_before_they_close_themselves(self) -> None:
+        limits = {**SETTINGS["limits"], "idle_close_ms": 8000.0}
+        self.assertLessEqual(self.read(settings={**SETTINGS, "limits": limits}).limits.idle_ms, 4000.0)
+
+    def test_faulty_keys_are_named(self) -> None:
+        tube = {"name": "t", "class": "pesagem"}
+        front: dict[str, Any] = {"listen": "127.0.0.1:1"}
+        for config, name in (
+            ({"listen": "nowhere"}, "listen"),
+            ({"discovery": "h:99999"}, "discovery"),
+            ({"peers": ["a:1", "b"]}, r"peers\[1\]"),
+            ({"seed": "xyz"}, "seed"),
+            ({"limits": {"sockets": "many"}}, "limits.sockets"),
+            ({"limits": {"sockets": 10}}, "limits.sockets"),
+            ({"node": {"linger_ms": -1}}, "node.linger_ms"),
+            ({"node": {"unheard_of": 1}}, "node.unheard_of"),
+            ({"settings": {**SETTINGS, "rules": {}}}, "rules.cold_share"),
+            ({"settings": []}, "settings"),
+            ({"beanstalk": {"tubes": []}}, "beanstalk.listen"),
+            ({"beanstalk": {**front, "tube": []}}, "beanstalk.tube"),
+            ({"beanstalk": {**front, "tubes": [{**tube, "class": "x"}]}}, r"beanstalk.tubes\[0\].class"),
+            ({"beanstalk": {**front, "tubes": [{**tube, "tenant": "x"}]}}, r"tubes\[0\].tenant"),
+            ({"beanstalk": {**front, "tubes": [{**tube, "name": "-"}]}}, r"tubes\[0\].name"),
+            ({"beanstalk": {**front, "tubes": [tube, tube]}}, r"tubes\[1\].name"),
+            ({"beanstalk": {**front, "tubes": [{**tube, "reply": "t"}]}}, r"tubes\[0\].reply"),
+        ):
+            with self.assertRaisesRegex(ConfigError, name):
+                self.read(**config)
+        with self.assertRaisesRegex(ConfigError, "GW_CONFIG"):
+            load({})
+
+    def test_the_operators_file_and_its_inventory_are_in_order(self) -> None:
+        found = load({}, str(DEPLOY / "beanstalk.toml"))
+        self.assertIsNotNone(found.beanstalk)
+        hosts = {h.name: h for h in inventory.read(found.inventory)}
+        self.assertEqual(hosts["balanca-caxias-02"].kind, "serie-a")
+        self.assertEqual(hosts["balanca-bento-01"].zone, "bento")
+
+    def test_the_deploy_file_names_all_of_the_node(self) -> None:
+        deploy = tomllib.loads((DEPLOY / "balancer.toml").read_text())
+        self.assertEqual(set(deploy), {"build", "run", "sim", "policy", "node", "packages"})
+        for path in (*deploy["policy"], *deploy["node"]):
+            self.assertTrue((DEPLOY.parent / path).exists(), path)
+
+    def test_a_uid_has_the_same_number_in_every_process(self) -> None:
+        self.assertEqual(worker_number("s-5be2a07c"), 9587356208999800076)
+
+
+class InventoryTest(unittest.TestCase):
+    def test_csv_with_a_header(self) -> None:
+        text = "\ufeffname, zone,rack,cell,weight,state\na,caxias,9,3,1.5,\nb,,,,,draining\n"
+        one, two = inventory.read_csv(text)
+        self.assertEqual((one.zone, one.cell, one.weight, one.state), ("caxias", 3, 1.5, "up"))
+        self.assertEqual((two.zone, two.state), ("", "draining"))
+
+    def test_yaml_variables_nearest_to_a_host_win(self) -> None:
+        text = """
+        all:
+          hosts: {a: {zone: own}, b: }
+          vars: {zone: all, kind: k}
+          children:
+            group:
+              vars: {zone: group}
+              hosts: {a: , b: , c: {ansible_port: 22}}
+        """
+        zones = {h.name: (h.zone, h.kind) for h in inventory.read_yaml(text)}
+        self.assertEqual(zones, {"a": ("own", "k"), "b": ("group", "k"), "c": ("group", "k")})
+
+    def test_what_is_at_fault_is_named(self) -> None:
+        for text, fault in (
+            ("zone\nx\n", "name"),
+            ("name,name\na,b\n", "header"),
+            ("name,zone\na\n", "line 2"),
+            ("name,cell\na,x\n", "a: cell"),
+            ("name,state\na,gone\n", "a: state"),
+            ("name\n../a\n", "name"),
+        ):
+            with self.assertRaisesRegex(inventory.InventoryError, fault):
+                inventory.read_csv(text)
+        for text, fault in (
+            ("all: {hosts: [a]}", r"all\.hosts"),
+            ("all: {host: {}}", r"all\.host"),
+            ("- a", "not a table"),
+            ("a: !!python/object:os.system {}", "inventory"),
+            ("all: {hosts: {a: {weight: -1}}}", "a: weight"),
+        ):
+            with self.assertRaisesRegex(inventory.InventoryError, fault):
+                inventory.read_yaml(text)
+
+
+class LogTest(unittest.TestCase):
+    def test_values_are_quoted_so_that_a_line_stays_a_line(self) -> None:
+        given = {"msg": "it happened", "levelname": "INFO", "name": "x", "peer": 'a"\nb'}
+        record = logging.makeLogRecord(given)
+        line = KeyValueFormatter().format(record)
+        self.assertRegex(line, r'^time=\S+ level=info logger=x event="it happened" peer="a\\"\\nb"$')
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -161,6 +161,16 @@
     assert finals(d.step(411, [api.Timer(0)])) == [api.Refuse("a", 2000.0)]
 
 
+def test_a_slot_told_unasked_is_filled_at_once() -> None:
+    # a worker that had just asked for work waited for a held job's next look, up to 160 ms
+    d = started(0, may_probe=True)
+    d.step(10, [job("a")])
+    d.step(300, [api.WorkerList(api.ListForm.DELTA, entries(1))])
+    assert not sends(d.step(301, []))
+    told = api.ProbeResult(1, True, 0.0, {"free_slots": 1.0})
+    assert [s.job for s in sends(d.step(302, [told]))] == ["a"]
+
+
 def test_late_starts_shrink_what_a_worker_is_given_whatever_its_old_reports_say() -> None:
     # reports seconds old went on showing room at a full worker, and jobs queued there past their aim
     d = started(1, tells_start=True)
