--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -21,10 +21,10 @@
 BASE_BENEFIT = 0.2  # benefit of any free worker, so that a job without a match still has a rank
 AGE_MS = 400.0  # waiting this long doubles a held job's rank: about one aim, so that none starves
 WALK = 12  # workers looked at in a key's rendezvous order: a dozen all busy means a busy fleet
-SPREAD = 2.0  # homes of a key: its share of our jobs, times the fleet, times this
+SPREAD = 1.0  # homes of a key: its share of our jobs, times the fleet, times this
 NEAR = 2  # workers beyond its homes that a job looks at from the start,
-NEAR_FREE = 4  # and where a fetch has no price of its own
-SPILL_SHARE = 0.1  # share of its slack that a job waits for each further worker beyond its key's homes
+NEAR_FREE = 2  # and where a fetch has no price of its own: the depot has little room all the same
+SPILL_SHARE = 0.2  # share of its slack that a job waits for each further worker beyond its key's homes
 SHARE_PRIOR = 50.0  # jobs counted beyond those seen, so that the first few do not look like all traffic
 SHARE_JOBS = 400.0  # the share of a key is taken over about this many jobs
 TRUST_MS = 250.0  # a probed report says nothing of a worker's free slots after this
@@ -43,6 +43,7 @@
 RUN_PART = 0.05  # the part that each new one has in its mean
 OVERHEAD_STEP_MS = 20.0  # step by which the overhead follows each outcome, towards
 OVERHEAD_AT = 0.6  # the value that this share of the jobs stays under
+PACE_STEP = 0.1  # the same for the pace, in hints: a dozen slow outcomes show that the fleet is slow
 OVERHEAD_MOST = 0.6  # share of a class's aim that the overhead may take: some must still be tried
 REFUSED_MS = 100.0  # a worker that refused is taken for full this long, doubled with each refusal in a row,
 REFUSED_DOUBLINGS = 2  # so often at most: late reports go on calling it free
@@ -165,6 +166,7 @@
         self.near = NEAR if settings.fee_fetch > 0 else NEAR_FREE
         self.run_ms = RUN_MS
         self.overhead = 0.0  # what a job takes beyond its hint, of late
+        self.pace = 1.0  # send-to-outcome time over the hint, of late: machines that others use run slower
         self.pressure = 0.0  # slots that others fill, unseen, at a worker whose report shows room
         self.trust_ms = TRUST_MS if settings.may_probe else TRUST_ANSWER_MS
 
@@ -306,6 +308,9 @@
         w.unseen = max(0.0, w.unseen - a.job.slots)
         if kind is api.OutcomeKind.SERVED:
             w.strikes = w.refusals = 0
+            if a.job.hint:
+                slow = now - a.sent_at > self.pace * a.job.hint
+                self.pace = max(1.0, self.pace + PACE_STEP * (OVERHEAD_AT if slow else OVERHEAD_AT - 1))
             over = now - a.sent_at - (a.job.hint or self.run_ms) > self.overhead
             self.overhead += OVERHEAD_STEP_MS * (OVERHEAD_AT if over else OVERHEAD_AT - 1)
             self.run_ms += RUN_PART * (now - a.sent_at - self.run_ms)
@@ -576,6 +581,7 @@
         # a client's later try has less time left than a first one: its aim has run on meanwhile
         lost = self.grace[event.job_class] - event.grace_ms
         lost += min(self.table.overhead, OVERHEAD_MOST * kind.aim_ms)
+        lost += (self.table.pace - 1) * (event.hint_ms or 0.0)
         job = Job(event, kind, self.now, self.settings.tick_ms, lost)
         self.ledger.jobs[job.id] = job
         self.signatures.count(job.key)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -185,3 +185,22 @@
     d.step(now, [outcome(api.Send("p0", 1), SERVED)])
     d.step(now + 300, [api.ProbeResult(1, True, 1.0, {"free_slots": 9.0})])
     assert d.table.workers[1].limit < limit
+
+
+def test_on_a_slow_fleet_a_job_is_given_up_before_it_would_end_late() -> None:
+    # neighbours took half of the machines, and jobs sent just within their aim all ended past it
+    def given_up_after(elapsed: float) -> float:
+        d = started(1)
+        now = 0.0
+        for i in range(40):
+            for s in sends(d.step(now, [job(f"j{i}", hint_ms=300.0)])):
+                d.step(now + elapsed, [outcome(s, SERVED)])
+            now += elapsed + 50
+        d.step(now, [api.WorkerList(api.ListForm.FULL)])
+        d.step(now, [job("last", hint_ms=300.0)])
+        waited = 0.0
+        while not finals(d.step(now + waited, [])):
+            waited += 5
+        return waited
+
+    assert given_up_after(700.0) < given_up_after(300.0) - 100
