The pace leaves a fifth of a job's slack, so that long jobs are still tried

Cause: lost grew by (pace - 1) * hint without bound, so a job of seconds had a slack of 1 ms and was refused one step after its arrival. Ruled out: sockets (no reset, no refusal by workers) and CPU (0.10 s in the worst second).

--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -44,6 +44,7 @@
 OVERHEAD_STEP_MS = 20.0  # step by which the overhead follows each outcome, towards
 OVERHEAD_AT = 0.6  # the value that this share of the jobs stays under
 PACE_STEP = 0.1  # the same for the pace, in hints: a dozen slow outcomes show that the fleet is slow
+PACE_MOST = 0.8  # share of a job's slack that the pace may take: a long job must still find a worker
 OVERHEAD_MOST = 0.6  # share of a class's aim that the overhead may take: some must still be tried
 REFUSED_MS = 100.0  # a worker that refused is taken for full this long, doubled with each refusal in a row,
 REFUSED_DOUBLINGS = 2  # so often at most: late reports go on calling it free
@@ -581,7 +582,8 @@
         # a client's later try has less time left than a first one: its aim has run on meanwhile
         lost = self.grace[event.job_class] - event.grace_ms
         lost += min(self.table.overhead, OVERHEAD_MOST * kind.aim_ms)
-        lost += (self.table.pace - 1) * (event.hint_ms or 0.0)
+        hint = event.hint_ms or 0.0
+        lost += min((self.table.pace - 1) * hint, PACE_MOST * (kind.aim_ms + (kind.aim_stretch - 1) * hint))
         job = Job(event, kind, self.now, self.settings.tick_ms, lost)
         self.ledger.jobs[job.id] = job
         self.signatures.count(job.key)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -204,3 +204,12 @@
         return waited
 
     assert given_up_after(700.0) < given_up_after(300.0) - 100
+
+
+def test_on_a_slow_fleet_a_long_job_is_still_tried() -> None:
+    # the pace took all of its slack, and it was refused a step after its arrival with most of a day's worth
+    d = started(1)
+    d.table.pace = 4.0
+    d.step(10, [api.WorkerList(api.ListForm.FULL)])
+    d.step(20, [job("long", hint_ms=2000.0)])
+    assert not finals(d.step(300, []))
