Full descriptors are not a worker's fault; the store's file stays bounded; tests of parser and pools

Seen in a review: with all destination sockets in use a send ended as 'no connection', for which the module leaves the worker alone for 3 s though nothing is wrong with it (ConnectionPool.start). An idle connection of another pool now makes room, and failing that the attempt ends as not sent. A client by HTTP is served by a reserving worker, tested; parser in any portions, any bytes.

--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -48,6 +48,7 @@
     store_entries: int = 20_000
     store_value_bytes: int = 150  # a value has to fit one datagram with its key
     store_key_bytes: int = 64
+    journal_lines: int = 50_000  # in the store's file before it is written anew
     repair_datagrams: int = 16  # at most, for one digest
     # times
     answer_margin_ms: float = 25.0  # a final answer is decided this long before the client gives up
--- a/pebbledrift/net/destinations.py
+++ b/pebbledrift/net/destinations.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import weakref
 from collections.abc import Callable
 
 from pebbledrift.config import Address, Limits
@@ -115,9 +116,9 @@
         """The connection ended first. Only bytes still unwritten prove that the request never ran."""
         self._end(None, api.OutcomeKind.NO_CONNECTION if unwritten else api.OutcomeKind.BROKEN)
 
-    def unreached(self) -> None:
+    def unreached(self, kind: api.OutcomeKind = api.OutcomeKind.NO_CONNECTION) -> None:
         """No connection came up."""
-        self._end(None, api.OutcomeKind.NO_CONNECTION)
+        self._end(None, kind)
 
     def give_up(self) -> None:
         """Nothing more is wanted; a connection in use is closed, which tells the worker so."""
@@ -142,6 +143,17 @@
     def __init__(self, most: int) -> None:
         self.most = most
         self.used = 0
+        self.pools: weakref.WeakSet[ConnectionPool] = weakref.WeakSet()
+
+    def allows(self) -> bool:
+        """Whether one more may be opened; an idle connection somewhere makes room for it."""
+        if self.used < self.most:
+            return True
+        idle = [pool for pool in self.pools if pool.idle]
+        if not idle:
+            return False
+        min(idle, key=lambda pool: pool.idle[0][1]).idle.pop(0)[0].abort()
+        return True
 
 
 class ConnectionPool:
@@ -154,6 +166,7 @@
         self.idle: list[tuple[Connection, float]] = []
         self.connections: set[Connection] = set()
         self.closed = False
+        budget.pools.add(self)
         self._tasks: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
 
@@ -163,8 +176,9 @@
         connection = self._take()
         if connection is not None:
             exchange.begin(connection)
-        elif self.budget.used >= self.budget.most:
-            self._loop.call_soon(exchange.unreached)
+        elif not self.budget.allows():
+            # no fault of the worker's: it must not be left alone for it
+            self._loop.call_soon(exchange.unreached, api.OutcomeKind.NOT_SENT)
         else:
             self.budget.used += 1
             task = self._loop.create_task(self._open(exchange))
--- a/pebbledrift/store/journal.py
+++ b/pebbledrift/store/journal.py
@@ -32,15 +32,19 @@
 
 
 class Journal:
-    """Appends every change of a table; the file is written anew at each start, without what is outdated."""
+    """Appends every change of a table; written anew at the start and when most lines are outdated."""
 
     def __init__(self, path: str, table: Table) -> None:
         self.path = Path(path)
         self.table = table
         self._read()
+        self._write_anew()
+        table.listeners.append(self.append)
+
+    def _write_anew(self) -> None:
         fresh = self.path.with_name(self.path.name + ".new")
         with fresh.open("wb") as file:
-            for entry in table.entries.values():
+            for entry in self.table.entries.values():
                 file.write(line(entry))
             file.flush()
             os.fsync(file.fileno())
@@ -49,7 +53,7 @@
         os.fsync(folder)  # or the new name may be lost with the machine, and with it all intents
         os.close(folder)
         self.file = self.path.open("ab", buffering=0)
-        table.listeners.append(self.append)
+        self.lines = len(self.table.entries)
 
     def _read(self) -> None:
         if not self.path.exists():
@@ -64,7 +68,13 @@
 
     def append(self, entry: Entry) -> None:
         """Write a change; it is safe from a crash of the process, and after sync from one of the machine."""
+        if self.lines >= self.table.limits.journal_lines + 4 * len(self.table.entries):
+            # guards the disk: a node that runs for months would fill it with states long over
+            self.file.close()
+            self._write_anew()  # this entry is in the table by now
+            return
         self.file.write(line(entry))
+        self.lines += 1
 
     def sync(self) -> None:
         """Return when all that was written is on the disk."""
--- a/tests/test_beanstalk.py
+++ b/tests/test_beanstalk.py
@@ -112,6 +112,21 @@
         self.assertEqual(answer, {"id": number, "verdict": "served", "result": "42 t"})
         self.assertEqual(producer.ask(f"peek {number}"), "NOT_FOUND")
 
+    def test_a_client_by_http_is_served_by_a_worker_that_reserves(self) -> None:
+        node = self.front(listen="127.0.0.1:0")
+        worker = self.client(node, "w1")
+        answers = node.later("a")
+        number, body = worker.reserve()
+        self.assertEqual(body, b"load")
+        worker.put(f"result.{number}", "by reserve")
+        self.assertEqual(worker.ask(f"delete {number}"), "DELETED")
+        self.assertEqual(answers.get(timeout=WAIT)[::2], (200, b"by reserve"))
+        answers = node.later("b")
+        number, _ = worker.reserve()
+        worker.close()
+        self.assertNotIn(answers.get(timeout=WAIT)[0], (200, 429, 503))
+        self.assertEqual(self.client(node).ask(f"peek {number}"), "NOT_FOUND")
+
     def test_a_pesagem_once_reserved_goes_to_no_second_worker(self) -> None:
         for end in ("release", "bury", "lost", "ttr"):
             with self.subTest(end):
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,128 @@
+"""The parser on bytes in any portions, and the destinations' connections against a server of our own."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import unittest
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pebbledrift.config import Limits
+from pebbledrift.net.destinations import ConnectionPool, Exchange, SocketBudget
+from pebbledrift.net.http import HttpError, Message, Parser
+from spoolpier import interface as api
+from tests.node import WAIT
+
+LIMITS = Limits()
+TEXT = (
+    b"\r\nPOST /a?b HTTP/1.1\r\nX-Call-Id: 1\r\nContent-Length: 3\r\n\r\nabc"
+    b"GET /c HTTP/1.1\r\nconnection: Close\r\n\r\n"
+    b"POST /d HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nde\r\n1\r\nf\r\n0\r\nTrailer: t\r\n\r\n"
+)
+
+
+class ParserTest(unittest.TestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.integers(0, len(TEXT)), max_size=12))
+    def test_portions_make_no_difference(self, cuts: list[int]) -> None:
+        parser = Parser(LIMITS, request=True)
+        places = sorted({0, len(TEXT), *cuts})
+        parts = [TEXT[a:b] for a, b in itertools.pairwise(places)]
+        found = [m for part in parts for m in parser.feed(part)]
+        told = [(m.first, m.second, bytes(m.body), m.keep_alive) for m in found]
+        self.assertEqual(
+            told,
+            [("POST", "/a?b", b"abc", True), ("GET", "/c", b"", False), ("POST", "/d", b"def", True)],
+        )
+        self.assertFalse(parser.inside)
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.binary(max_size=200), st.booleans())
+    def test_any_bytes_are_read_or_rejected(self, data: bytes, request: bool) -> None:
+        parser = Parser(LIMITS, request)
+        try:
+            list(parser.feed(b"GET / HTTP/1.1\r\n" + data if request else b"HTTP/1.1 200 OK\r\n" + data))
+        except HttpError as error:
+            self.assertIn(error.status, (400, 413, 431, 501, 502, 505))
+
+    def test_a_body_in_chunks_is_bounded_too(self) -> None:
+        parser = Parser(replace(LIMITS, body_bytes=10), request=True)
+        with self.assertRaises(HttpError) as caught:
+            head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            list(parser.feed(head + b"6\r\nabcdef\r\n" * 2))
+        self.assertEqual(caught.exception.status, 413)
+
+    def test_a_response_may_end_with_its_connection(self) -> None:
+        parser = Parser(LIMITS, request=False)
+        self.assertEqual(list(parser.feed(b"HTTP/1.1 200 OK\r\n\r\nbody")), [])
+        last = parser.close()
+        assert last is not None
+        self.assertEqual((bytes(last.body), last.keep_alive), (b"body", False))
+
+
+class PoolTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.got: list[bytes] = []
+        self.answer = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+        self.writers: list[asyncio.StreamWriter] = []
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = self.server.sockets[0].getsockname()[:2]
+
+    async def asyncTearDown(self) -> None:
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        while data := await reader.read(65536):
+            self.got.append(data)
+            if self.answer:
+                writer.write(self.answer)
+            else:
+                writer.transport.abort()
+
+    async def ask(self, pool: ConnectionPool) -> tuple[Message | None, api.OutcomeKind]:
+        loop = asyncio.get_running_loop()
+        ended: asyncio.Future[tuple[Message | None, api.OutcomeKind]] = loop.create_future()
+        exchange = Exchange(b"GET / HTTP/1.1\r\n\r\n", lambda *end: ended.set_result(end))
+        pool.start(exchange, WAIT * 1000, exchange.unreached)
+        async with asyncio.timeout(WAIT):
+            return await ended
+
+    async def test_a_connection_is_kept_and_a_break_is_never_sent_again(self) -> None:
+        pool = ConnectionPool(self.address, LIMITS, SocketBudget(10))
+        for _ in range(3):
+            self.assertEqual((await self.ask(pool))[1], api.OutcomeKind.SERVED)
+        self.assertEqual(len(self.writers), 1)
+        self.answer = b""
+        self.assertEqual(await self.ask(pool), (None, api.OutcomeKind.BROKEN))
+        self.assertEqual(len(self.got), 4)
+
+    async def test_a_refused_connection_proves_that_nothing_ran(self) -> None:
+        self.server.close()
+        await self.server.wait_closed()
+        pool = ConnectionPool(self.address, LIMITS, SocketBudget(10))
+        self.assertEqual(await self.ask(pool), (None, api.OutcomeKind.NO_CONNECTION))
+
+    async def test_full_descriptors_take_an_idle_connection_or_say_that_nothing_was_sent(self) -> None:
+        # both had counted as the worker's failure, and it was left alone for seconds
+        budget = SocketBudget(1)
+        first, second = (ConnectionPool(self.address, LIMITS, budget) for _ in range(2))
+        self.assertEqual((await self.ask(first))[1], api.OutcomeKind.SERVED)
+        self.assertEqual((await self.ask(second))[1], api.OutcomeKind.SERVED)
+        self.assertEqual((len(first.idle), len(second.idle)), (0, 1))
+        nothing = ConnectionPool(self.address, LIMITS, SocketBudget(0))
+        self.assertEqual(await self.ask(nothing), (None, api.OutcomeKind.NOT_SENT))
+
+    async def test_an_idle_connection_is_closed_well_before_the_other_side_does(self) -> None:
+        pool = ConnectionPool(self.address, replace(LIMITS, idle_ms=1.0), SocketBudget(10))
+        await self.ask(pool)
+        async with asyncio.timeout(WAIT):
+            while pool.connections:
+                await asyncio.sleep(0.001)
+        self.assertEqual((await self.ask(pool))[1], api.OutcomeKind.SERVED)
+        self.assertEqual(len(self.writers), 2)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -133,6 +133,19 @@
 
 
 class JournalTest(unittest.TestCase):
+    def test_the_file_does_not_grow_with_what_is_outdated(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "store"
+            t = table(limits=replace(LIMITS, journal_lines=10))
+            journal = Journal(str(path), t)
+            for i in range(200):
+                t.set("a", i)
+                self.assertLessEqual(len(path.read_bytes().splitlines()), 14)
+            journal.close()
+            again = table()
+            Journal(str(path), again).close()
+            self.assertEqual(again.get("a"), 199)
+
     def test_a_torn_or_changed_line_costs_that_line_only(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "store"
