A put keeps the mapping it came with

Seen in a review of _delay_over: when a peer's write took a tube out of the mapping while a job of it waited out its delay, the job was treated as plain, never submitted, and its producer got no answer.

--- a/pebbledrift/__main__.py
+++ b/pebbledrift/__main__.py
@@ -111,7 +111,7 @@
     def recovered(job: str, origin: str, answer: Answer) -> None:
         number = job.rpartition(".")[2]
         if origin and number.isdigit():  # what came by HTTP has lost its client with the old process
-            tubes.post_answer(int(number), origin, answer)
+            tubes.post_answer(int(number), tubes.tubes.get(origin), answer)
 
     engine.observers.append(store.observe)
     engine.observers.append(tubes.observe)
--- a/pebbledrift/fronts/beanstalk.py
+++ b/pebbledrift/fronts/beanstalk.py
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True, eq=False)
 class Job:
-    """A job as beanstalkd clients see it. `operation` is set in mapped tubes only."""
+    """A job as beanstalkd clients see it. `mapping` is set in mapped tubes, `operation` once it has begun."""
 
     id: int
     tube: str
@@ -44,6 +44,7 @@
     ttr: int
     created_ms: float
     state: str = "ready"  # ready, delayed, reserved, buried
+    mapping: TubeConfig | None = None  # as it was at the put, whatever becomes of the tube
     operation: Operation | None = None
     attempt: Attempt | None = None
     holder: Session | None = None
@@ -260,6 +261,7 @@
             socket.reply("OUT_OF_MEMORY")  # the busy reply of this protocol
         else:
             job = self._new_job(session.use, body, pri, delay, max(1, ttr))
+            job.mapping = tube
             self._count("total-jobs")
             if delay:
                 self._set(job, "delayed", delay * 1000.0, self._delay_over)
@@ -309,7 +311,7 @@
         job = self.by_operation.pop(operation.id, None)
         if job is None:
             return
-        self.post_answer(job.id, job.tube, answer)
+        self.post_answer(job.id, job.mapping, answer)
         if job.state == "reserved":
             self._unhold(job)
         if answer.verdict is Verdict.FAILED:
@@ -324,10 +326,9 @@
         """Follow the mapping; jobs taken in keep the class they came with."""
         self.tubes = {t.name: t for t in tubes}
 
-    def post_answer(self, number: int, tube: str, answer: Answer) -> None:
+    def post_answer(self, number: int, tube: TubeConfig | None, answer: Answer) -> None:
         """Put an answer into the reply tube of a job."""
-        mapped = self.tubes.get(tube)
-        name = (mapped.reply if mapped is not None else "reply.{id}").replace("{id}", str(number))
+        name = (tube.reply if tube is not None else TubeConfig.reply).replace("{id}", str(number))
         text: dict[str, object] = {"id": number, "verdict": answer.verdict.value}
         if answer.verdict is Verdict.SERVED:
             text["result"] = answer.result.decode("utf-8", "replace")
@@ -374,16 +375,15 @@
     def stop(self) -> None:
         """No more jobs are taken; those that still wait out a delay are answered now."""
         self.taking = False
-        for job in [j for j in self.jobs.values() if j.state == "delayed" and j.tube in self.tubes]:
+        for job in [j for j in self.jobs.values() if j.state == "delayed" and j.mapping is not None]:
             self._never_begun(job, "stopping")
             self._forget(job)
 
     def _never_begun(self, job: Job, reason: str) -> None:
         """Put and still in its delay: its answer is owed all the same."""
-        tube = self.tubes.get(job.tube)
-        if tube is not None:
-            self.noted(self._operation_id(job), Verdict.REFUSED.value, tube)
-            self.post_answer(job.id, job.tube, Answer(Verdict.REFUSED, reason=reason))
+        if job.mapping is not None:
+            self.noted(self._operation_id(job), Verdict.REFUSED.value, job.mapping)
+            self.post_answer(job.id, job.mapping, Answer(Verdict.REFUSED, reason=reason))
 
     def _give_back(self, job: Job, kind: api.OutcomeKind) -> None:
         """A reserved operation comes back without a result."""
@@ -439,9 +439,9 @@
 
     def _delay_over(self, job: Job) -> None:
         self._set(job, "ready")
-        tube = self.tubes.get(job.tube)
-        if tube is not None:
-            self._submit(job, tube)
+        if job.mapping is not None:
+            # guards against a put left without an answer when its tube is mapped no more
+            self._submit(job, job.mapping)
         else:
             self._serve_plain(job.tube)
 
--- a/tests/test_beanstalk.py
+++ b/tests/test_beanstalk.py
@@ -330,6 +330,12 @@
         eventually(lambda: "pesagem.acme" in producer.tubes())
         number = producer.put("pesagem.acme")
         self.assertEqual(worker.reserve()[0], number)
+        self.assertEqual(worker.ask(f"delete {number}"), "DELETED")
+        delayed = producer.put("pesagem.acme", delay=1000)
+        peer.sendto(pack(Entry("tube/pesagem.acme", None, Version(now.ms + 10_000, 1))), to)
+        eventually(lambda: producer.ask("put 0 0 9 1\r\nx") == "NOT_FOUND")
+        self.assertEqual(producer.ask(f"kick-job {delayed}"), "KICKED")
+        self.assertEqual(worker.reserve()[0], delayed)  # what was put before keeps its class and its answer
         told: list[str] = []
         while f'op/n0.{number} "sent"' not in told:
             data = peer.recv(2048)
