SIGHUP is tested: the inventory is read again, a faulty one changes nothing

There was no test for it. A connection that watched worker.NAME before its host was in the inventory becomes that worker when the host comes (BeanstalkFront._bind). The log now says how many hosts were taken, which the test waits for.

--- a/pebbledrift/store/service.py
+++ b/pebbledrift/store/service.py
@@ -91,6 +91,7 @@
                     hosts.append(host(key.removeprefix(HOST), value, "store"))
                 except (InventoryError, AttributeError) as error:
                     log.warning("entry passed over", extra={"key": key, "error": str(error)})
+            log.info("inventory", extra={"hosts": len(hosts)})
             self.inventory_changed(hosts)
         else:
             tubes = []
--- a/tests/test_beanstalk.py
+++ b/tests/test_beanstalk.py
@@ -5,9 +5,11 @@
 import json
 import random
 import re
+import signal
 import socket
 import threading
 import time
+from pathlib import Path
 from typing import Any
 
 import greenstalk
@@ -344,6 +346,21 @@
                 entry = unpack(data)
                 told.append(f"{entry.key} {json.dumps(json.loads(entry.value or b'0')[:1])[1:-1]}")
 
+    def test_sighup_reads_the_inventory_again_and_a_faulty_one_changes_nothing(self) -> None:
+        folder = self.folder()
+        node = self.front(folder)
+        producer, worker = self.client(node), self.client(node, "w9")
+        path = Path(folder) / "hosts.csv"
+        path.write_text("zone\nno names\n")
+        node.process.send_signal(signal.SIGHUP)
+        eventually(lambda: any("inventory not taken" in line for line in node.log))
+        worker.send("reserve-with-timeout 15")
+        path.write_text("name,zone\nw9,caxias\n")
+        node.process.send_signal(signal.SIGHUP)
+        eventually(lambda: any("event=inventory hosts=1" in line for line in node.log))
+        number = producer.put("pesagem.acme")
+        self.assertEqual(worker.line(), f"RESERVED {number} 2")
+
     def test_greenstalk_drives_it(self) -> None:
         node = self.front()
         host, _, port = node.addresses[0].partition(":")
