Silent connections make room, an id belongs to its owner, errors survive the close

With connections and ids logged the front's table stood at its 211 sockets from 9.5 s on, of which most had never sent a request or had stayed after an error: from then on 93% of the requests, and the call-backs with them, got 503. At fault: FrontSocket.connection_made (503 at the limit, whoever sits there), _watch_input (10 s and 75 s for silence), _close_with (closed with input unread), Engine.submit (a known id shared its answer). Now: silent connections go after 2 s and make room at need, newcomers wait in the listening queue meanwhile, a reserve lets call-backs in; a known id gets 409; an error half-closes, drains in bounds and closes; bare line feeds and odd chunk sizes are rejected, '//[' no longer ends a connection unanswered; bodies are bounded by limits.memory_mb; the log does not flood.

--- a/pebbledrift/__main__.py
+++ b/pebbledrift/__main__.py
@@ -68,13 +68,13 @@
                 lambda: BeanstalkSocket(config.limits, tubes), *config.beanstalk.listen, backlog=128
             )
         )
-    if config.listen is not None:
-        servers.append(await loop.create_server(fronts.protocol, *config.listen, backlog=512))
     gc.collect()
     gc.freeze()
     for server in servers:
         for socket in server.sockets:
             log.info("listening", extra={"address": "{}:{}".format(*socket.getsockname()[:2])})
+    if config.listen is not None:
+        log.info("listening", extra={"address": "{}:{}".format(*fronts.listen(config.listen))})
     log.info("started", extra={"node": config.name})
     await stopping.wait()
     log.info("stopping", extra={"open": len(engine.open)})
@@ -89,6 +89,7 @@
     await engine.drained()
     if tubes is not None and tubes.plain:
         await asyncio.sleep(config.limits.linger_ms / 1000)  # for producers to fetch the last answers
+    fronts.close()
     for server in servers:
         server.close()
     await pool.stop()
--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -30,17 +30,20 @@
     body_bytes: int = 64 * 1024
     line_bytes: int = 256 * 1024  # one line of discovery's watch
     datagram_bytes: int = 256
-    write_buffer_bytes: int = 256 * 1024  # unread answers on one connection; more closes it
+    write_buffer_bytes: int = 96 * 1024  # unread answers on one connection; more closes it
     held_bytes: int = 24 * 1024 * 1024  # bodies of open operations
-    recent_bytes: int = 8 * 1024 * 1024  # results kept for ids sent again
-    recent_result: int = 4 * 1024
+    reading_bytes: int = 8 * 1024 * 1024  # requests that are not complete, on all front sockets
+    linger_bytes: int = 512 * 1024  # input passed over behind the last answer on a front socket
     # counts
-    front_sockets: int = 560
+    front_sockets: int = 520
+    spare_sockets: int = 40  # beyond these, for workers' call-backs
+    backlog: int = 512
+    accept_batch: int = 32
     beanstalk_sockets: int = 300  # only where that front is on; the others then have less
     destination_sockets: int = 340  # together, open and opening
     idle_per_destination: int = 24
     operations: int = 4000
-    recent: int = 4096
+    recent: int = 4096  # ids answered lately
     buried_jobs: int = 1000  # kept to be looked at
     reply_jobs: int = 10_000  # answers kept for producers to fetch
     reply_ttr_s: int = 60
@@ -58,7 +61,11 @@
     probe_ms: float = 400.0
     cancel_ms: float = 2000.0
     idle_ms: float = 30_000.0  # destinations close theirs after limits.idle_close_ms; ours go well before
-    input_ms: float = 10_000.0  # a request once begun has to be complete by then
+    first_ms: float = 2000.0  # a connection's first request has to be complete by then
+    input_ms: float = 2000.0  # any later one, once begun
+    young_ms: float = 100.0  # so long a silent connection need not make room for others
+    accept_pause_ms: float = 20.0  # a full table lets newcomers wait in the listening queue
+    linger_close_ms: float = 1000.0  # after an error the other side has this long to read it and close
     front_idle_ms: float = 75_000.0
     watch_connect_ms: float = 1000.0
     watch_silent_ms: float = 3000.0  # an empty line comes every 2 s
@@ -178,11 +185,19 @@
         raise ConfigError(f"limits.sockets: at least 64 are needed, not {sockets}")
     if "beanstalk" in config:
         values["beanstalk_sockets"] = sockets * 30 // 100
-        values["front_sockets"] = sockets * 30 // 100
+        values["front_sockets"] = sockets * 28 // 100
         values["destination_sockets"] = sockets * 28 // 100
     else:
-        values["front_sockets"] = sockets * 55 // 100
+        values["front_sockets"] = sockets * 51 // 100
         values["destination_sockets"] = sockets * 33 // 100
+    values["spare_sockets"] = max(2, sockets * 4 // 100 if "beanstalk" not in config else sockets * 2 // 100)
+    # the program itself takes about 20 MB; of the rest, half may be bodies, a sixth what is being read
+    memory = amount(machine.get("memory_mb", 192), "limits.memory_mb")
+    if memory < 24:
+        raise ConfigError(f"limits.memory_mb: at least 24 are needed, not {memory:g}")
+    rest = int((memory - 20) * 1024 * 1024)
+    values["held_bytes"] = min(Limits.held_bytes, rest // 2)
+    values["reading_bytes"] = min(Limits.reading_bytes, rest // 6)
     site = table_of(settings.get("limits", {}), "settings.limits")
     if "connect_timeout_ms" in site:
         values["connect_ms"] = amount(site["connect_timeout_ms"], "settings.limits.connect_timeout_ms")
--- a/pebbledrift/core/engine.py
+++ b/pebbledrift/core/engine.py
@@ -38,8 +38,7 @@
         self.open: dict[str, Operation] = {}
         self.held_bytes = 0
         self._dispatcher = Dispatcher(settings, seed)
-        self._recent: OrderedDict[str, Answer] = OrderedDict()
-        self._recent_bytes = 0
+        self._recent: OrderedDict[str, None] = OrderedDict()
         self._events: list[api.Event] = []
         self._last_step = -1e18
         self._step_timer: asyncio.TimerHandle | None = None
@@ -49,19 +48,15 @@
 
     # -- from the fronts
 
+    def knows(self, job: str) -> bool:
+        """Whether an id is open or was answered lately."""
+        return job in self.open or job in self._recent
+
     def submit(self, operation: Operation) -> None:
-        """Take an operation in. A repeat of a known id gets that one's answer and is not run again."""
-        known = self.open.get(operation.id)
-        if known is not None:
-            if known.answer is None:
-                known.recipients.extend(operation.recipients)
-            else:
-                # answered, but an attempt is still being ended: taken for new, it would run again
-                self._tell(operation, known.answer)
-            return
-        earlier = self._recent.get(operation.id)
-        if earlier is not None:
-            self._tell(operation, earlier)
+        """Take an operation in, once for each id."""
+        if self.knows(operation.id):
+            # guards the owner's answer: whoever comes under its id has not had a request run
+            self._tell(operation, Answer(Verdict.FAILED, reason="id in use"))
             return
         size = len(operation.work.body)
         if not self.room_for(size):
@@ -335,16 +330,12 @@
         if self.open.pop(operation.id, None) is None:
             return
         self.held_bytes -= len(operation.work.body)
-        self._remember(operation.id, operation.answer)
+        self._remember(operation.id)
         if not self.open and self._idle is not None and not self._idle.done():
             self._idle.set_result(None)
 
-    def _remember(self, job: str, answer: Answer) -> None:
-        """Guards against a second run where a client sends an id again whose answer it never read."""
-        if len(answer.result) > self.limits.recent_result:
-            answer = Answer(Verdict.FAILED, reason="answered before")
-        self._recent[job] = answer
-        self._recent_bytes += len(answer.result)
-        while len(self._recent) > self.limits.recent or self._recent_bytes > self.limits.recent_bytes:
-            _, old = self._recent.popitem(last=False)
-            self._recent_bytes -= len(old.result)
+    def _remember(self, job: str) -> None:
+        """Guards against a second run, and a shared answer, where an id comes again."""
+        self._recent[job] = None
+        while len(self._recent) > self.limits.recent:
+            self._recent.popitem(last=False)
--- a/pebbledrift/fronts/platform.py
+++ b/pebbledrift/fronts/platform.py
@@ -6,7 +6,7 @@
 import logging
 import re
 from collections.abc import Callable
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs
 
 from pebbledrift.config import Config
 from pebbledrift.core.clock import Clock
@@ -21,7 +21,9 @@
 log = logging.getLogger(__name__)
 
 ID = re.compile(r"[!-~]{1,128}\Z")
+REPEAT_KEY = re.compile(r"[!-~]{1,256}\Z")
 KEY = re.compile(r"[0-9A-Fa-f]{1,16}\Z")
+NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{0,30})?([eE][+-]?[0-9]{1,2})?\Z")
 OUTCOMES = {
     "done": api.OutcomeKind.SERVED,
     "failed": api.OutcomeKind.ERROR,
@@ -43,10 +45,7 @@
     """A header's finite number of at least 0, or None where it is absent."""
     if text is None:
         return None
-    try:
-        value = float(text)
-    except ValueError:
-        value = -1.0
+    value = float(text) if NUMBER.match(text) else -1.0
     if not 0 <= value < 1e15:
         raise Rejected(400, f"{name}: not a number of at least 0")
     return value
@@ -79,7 +78,7 @@
                 self._take(socket, message)
         except Rejected as rejected:
             log.info("rejected", extra={"status": rejected.status, "reason": str(rejected)})
-            socket.answer(rejected.status, {}, str(rejected).encode())
+            socket.reject(rejected.status, str(rejected).encode())
 
     def gone(self, socket: FrontSocket) -> None:
         owed = self.owed.pop(socket, None)
@@ -88,34 +87,39 @@
 
     def _take(self, socket: FrontSocket, message: Message) -> None:
         operation = self._operation(message)
-        if not self.taking:
-            advice = Answer(Verdict.REFUSED, b"", self.config.limits.busy_retry_ms, "stopping")
-            SocketRecipient(self, socket).answered(operation, advice)
-            return
         recipient = SocketRecipient(self, socket)
+        if not self.taking or socket.spare:
+            # the reserve of sockets is for call-backs; nothing of the operation has run
+            reason = "too many sockets" if self.taking else "stopping"
+            advice = Answer(Verdict.REFUSED, b"", self.config.limits.busy_retry_ms, reason)
+            recipient.answered(operation, advice)
+            return
         operation.recipients.append(recipient)
         self.owed[socket] = operation, recipient
         self.engine.submit(operation)
-        known = self.engine.open.get(operation.id)
-        if known is not None and known is not operation and socket in self.owed:
-            self.owed[socket] = known, recipient
 
     def _operation(self, message: Message) -> Operation:
         headers = message.headers
-        split = urlsplit(message.second)
-        name = split.path.lstrip("/").partition("/")[0]
-        if name not in self.classes:
+        path, _, query = message.second.partition("?")
+        root, _, rest = path.partition("/")
+        name = rest.partition("/")[0]
+        if root or name not in self.classes or "#" in message.second:
             raise Rejected(404, "no such class")
         if message.first != "POST":
             raise Rejected(405, "POST only")
         job = headers.get("x-call-id", "")
         if not ID.match(job):
             raise Rejected(400, "X-Call-Id: missing or malformed")
+        if self.engine.knows(job):
+            # guards the owner of an id: a foreign request under it is not run and gets none of its answer
+            raise Rejected(409, "X-Call-Id: in use")
         job_class = self.classes[name]
         kind = self.config.settings.classes[job_class]
         repeat_key = headers.get("idempotency-key")
         if kind.effect is api.Effect.KEYED and not repeat_key:
             raise Rejected(400, "Idempotency-Key: missing")
+        if repeat_key is not None and not REPEAT_KEY.match(repeat_key):
+            raise Rejected(400, "Idempotency-Key: malformed")
         budget = number(headers.get("x-budget"), "X-Budget")
         grace = kind.deadline_ms if budget is None else min(budget * 1000, 2 * kind.deadline_ms)
         cost = number(headers.get("x-call-cost"), "X-Call-Cost")
@@ -123,7 +127,7 @@
         for pair in headers.get("x-call-info", "").split(","):
             key, _, value = pair.partition("=")
             info[key.strip()] = value.strip()
-        sid = parse_qs(split.query).get("sid", [""])[0]
+        sid = parse_qs(query).get("sid", [""])[0]
         if sid and not KEY.match(sid):
             raise Rejected(400, "sid: not a key")
         slots = number(info.get("needs") or info.get("slots"), "slots")
--- a/pebbledrift/logs.py
+++ b/pebbledrift/logs.py
@@ -33,8 +33,37 @@
         return " ".join(f"{k}={_value(v)}" for k, v in pairs.items())
 
 
+class FloodFilter(logging.Filter):
+    """Guards the CPU and the log against records that come by the hundred, as bad clients cause them.
+
+    Of one event only so many a second are passed; the next one that is tells how many were not.
+    """
+
+    MOST = 10
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.second = 0
+        self.seen: dict[tuple[str, str], int] = {}
+        self.suppressed: dict[tuple[str, str], int] = {}
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        if int(record.created) != self.second:
+            self.second = int(record.created)
+            self.seen.clear()
+        event = record.name, str(record.msg)
+        self.seen[event] = self.seen.get(event, 0) + 1
+        if self.seen[event] > self.MOST:
+            self.suppressed[event] = self.suppressed.get(event, 0) + 1
+            return False
+        if event in self.suppressed:
+            record.suppressed = self.suppressed.pop(event)
+        return True
+
+
 def setup(level: str) -> None:
     """Send all records to standard error."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValueFormatter())
+    handler.addFilter(FloodFilter())
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
--- a/pebbledrift/net/front.py
+++ b/pebbledrift/net/front.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
+import socket
 from collections import deque
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
-from pebbledrift.config import Limits
+from pebbledrift.config import Address, Limits
 from pebbledrift.net.http import HttpError, HttpProtocol, Message, response
 
 log = logging.getLogger(__name__)
@@ -17,103 +20,239 @@
     """The front behind the sockets."""
 
     def handle(self, socket: FrontSocket, message: Message) -> None:
-        """Answer a request now or later by socket.answer, exactly once."""
+        """Answer a request now or later by socket.answer or socket.reject, exactly once."""
 
     def gone(self, socket: FrontSocket) -> None:
         """The connection has ended while its request was unanswered."""
 
 
 class FrontServer:
-    """Counts the sockets and makes their protocols."""
+    """Accepts connections and makes room for them, so that bad clients cost the usual ones nothing.
+
+    Each socket is in one of three tables, oldest first, unless a request is being served on it.
+    """
 
     def __init__(self, limits: Limits, handler: Handler) -> None:
         self.limits = limits
         self.handler = handler
         self.sockets: set[FrontSocket] = set()
+        self.silent: dict[FrontSocket, None] = {}  # no request yet
+        self.ending: dict[FrontSocket, None] = {}  # the last answer is written, input is passed over
+        self.idle: dict[FrontSocket, None] = {}  # between requests
+        self.reading = 0  # bytes of requests that are not complete
         self.closing = False
+        self.listener: socket.socket | None = None
+        self._loop = asyncio.get_running_loop()
+        self._accepted: set[asyncio.Task[object]] = set()
+        self._pause: asyncio.TimerHandle | None = None
+
+    def listen(self, address: Address) -> Address:
+        """Begin to accept; returns the address with the port that was given."""
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self.listener = socket.create_server(address, family=family, backlog=self.limits.backlog)
+        self.listener.setblocking(False)
+        self._loop.add_reader(self.listener, self._accept)
+        found = self.listener.getsockname()
+        return found[0], found[1]
 
-    def protocol(self) -> FrontSocket:
-        """One for a new connection."""
-        return FrontSocket(self)
+    def close(self) -> None:
+        """Accept no more."""
+        if self._pause is not None:
+            self._pause.cancel()
+        if self.listener is not None:
+            self._loop.remove_reader(self.listener)
+            self.listener.close()
+            self.listener = None
 
     def close_idle(self) -> None:
         """Close the sockets on which nothing is owed; the others close with their answer."""
-        for socket in list(self.sockets):
-            socket.close_if_idle()
+        for front in list(self.idle):
+            if front.transport is not None:
+                front.transport.close()
+
+    def _accept(self) -> None:
+        """Take in a few at a time: what came with them is read before the next ones are accepted."""
+        assert self.listener is not None
+        for _ in range(self.limits.accept_batch):
+            if not self._room():
+                self._wait()
+                return
+            try:
+                accepted, _ = self.listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                # guards the loop where descriptors have run out: the listening socket would stay readable
+                log.warning("cannot accept", extra={"error": str(error)})
+                self._wait()
+                return
+            accepted.setblocking(False)
+            front = FrontSocket(self, spare=len(self.sockets) >= self.limits.front_sockets)
+            self.sockets.add(front)  # counted from here on, not from when the loop comes round to it
+            task = self._loop.create_task(self._connect(front, accepted))
+            self._accepted.add(task)
+            task.add_done_callback(self._accepted.discard)
+
+    async def _connect(self, front: FrontSocket, accepted: socket.socket) -> None:
+        try:
+            await self._loop.connect_accepted_socket(lambda: front, accepted)
+        except OSError as error:
+            self.sockets.discard(front)
+            accepted.close()
+            log.info("connection lost at once", extra={"error": str(error)})
+
+    def _wait(self) -> None:
+        """Leave who comes in the listening queue for a moment: nothing of theirs is lost there."""
+        if self._pause is None and self.listener is not None:
+            self._loop.remove_reader(self.listener)
+            self._pause = self._loop.call_later(self.limits.accept_pause_ms / 1000, self._go_on)
+
+    def _go_on(self) -> None:
+        self._pause = None
+        if self.listener is not None:
+            self._loop.add_reader(self.listener, self._accept)
+
+    def _room(self) -> bool:
+        """Guards the table against connections that say nothing: at need they make room, oldest first."""
+        if len(self.sockets) < self.limits.front_sockets:
+            return True
+        for victim in self._dispensable():
+            victim.abort()
+            victim.forget()
+            return True
+        if any(s.current is None for s in self.sockets):
+            return False  # too young to judge: in a moment they have asked, or may go
+        # all are being served: the reserve lets workers' call-backs in, others get a busy reply
+        return len(self.sockets) < self.limits.front_sockets + self.limits.spare_sockets
+
+    def _dispensable(self) -> Iterator[FrontSocket]:
+        now = self._loop.time()
+        for oldest in self.silent:
+            # a usual client's first request may be under way: it gets the time to arrive
+            if now - oldest.since >= self.limits.young_ms / 1000:
+                yield oldest
+            break
+        yield from self.ending
+        yield from self.idle
 
 
 class FrontSocket(HttpProtocol):
     """One connection: one request at a time, further ones wait in order."""
 
-    def __init__(self, server: FrontServer) -> None:
+    def __init__(self, server: FrontServer, spare: bool) -> None:
         super().__init__(server.limits, request=True)
         self.server = server
+        self.spare = spare  # beyond the table: for a call-back, or a busy reply
         self.waiting: deque[Message] = deque()
         self.current: Message | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.since = server._loop.time()
         self.last = False  # no further request is read
         self.used = False  # a request has come
+        self.paused = False
+        self.reading = 0  # bytes of a request that is not complete
+        self.passed_over = 0  # bytes of input since the last answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        if len(self.server.sockets) >= self.limits.front_sockets:
-            # guards the descriptors that destinations and discovery need
-            self._close_with(503, {"Retry-After": f"{self.limits.busy_retry_ms / 1000:.3f}"})
-            return
-        self.server.sockets.add(self)
-        self._watch_input()
+        self.server.silent[self] = None
+        # guards sockets against clients that connect and say nothing, or not all, or one byte at a time
+        self._arm(self.limits.first_ms, self._first_late)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.server.sockets.discard(self)
-        if self.timer is not None:
-            self.timer.cancel()
+        self.forget()
         if self.current is not None:
             self.current = None
             self.server.handler.gone(self)
 
+    def forget(self) -> None:
+        """The socket counts no more."""
+        server = self.server
+        server.sockets.discard(self)
+        for table in (server.silent, server.ending, server.idle):
+            table.pop(self, None)
+        self._count_reading(0)
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
     def eof_received(self) -> bool:
         return False
 
+    def buffer_updated(self, nbytes: int) -> None:
+        if not self.last:
+            super().buffer_updated(nbytes)
+            return
+        # guards the node against input without end behind the last answer
+        self.passed_over += nbytes
+        if self.current is None and self.passed_over > self.limits.linger_bytes:
+            self.abort()
+
     def message_received(self, message: Message) -> None:
         if self.last:
             return
         if self.current is not None:
-            if len(self.waiting) >= 16:
-                raise HttpError(400, "too many requests in advance")
             self.waiting.append(message)
-            return
-        self._begin(message)
+        else:
+            self._begin(message)
 
     def fed(self) -> None:
-        if self.current is None:
-            self._watch_input()
+        if self.last:
+            return
+        if self.waiting:
+            # guards memory: what is sent in advance stays with the kernel until its turn
+            self._pause()
+        inside = self.parser.inside
+        self._count_reading(self.parser.held if inside else 0)
+        if self.current is not None:
+            return
+        if self.server.reading > self.limits.reading_bytes:
+            # guards memory against many bodies begun at once
+            headers = {"Retry-After": f"{self.limits.busy_retry_ms / 1000:.3f}"}
+            self._end_with(response(503, headers, b"", False))
+        elif inside and self in self.server.idle:
+            del self.server.idle[self]
+            self._arm(self.limits.input_ms, self._input_late)
 
     def malformed(self, error: HttpError) -> None:
-        log.info("malformed request", extra={"reason": str(error), "status": error.status})
+        log.info("malformed request", extra={"status": error.status, "reason": str(error)})
         if self.current is None:
-            self._close_with(error.status)
+            self._end_with(response(error.status, {}, b"", False))
         else:
             self.last = True  # the request being served still gets its answer, then the socket closes
+            self._pause()
 
     def answer(self, status: int, headers: dict[str, str], body: bytes = b"") -> None:
         """Answer the current request."""
         message, self.current = self.current, None
         if message is None or self.transport is None or self.transport.is_closing():
             return
-        keep = message.keep_alive and not self.last and not self.server.closing
-        self.transport.write(response(status, headers, body, keep))
+        keep = message.keep_alive and not (self.last or self.spare or self.server.closing)
+        data = response(status, headers, body, keep)
+        if self.last:
+            self._end_with(data)
+            return
+        self.transport.write(data)
         if not keep:
             self.last = True
             self.transport.close()
         elif self.waiting:
             self._begin(self.waiting.popleft())
         else:
-            self._watch_input()
+            if self.parser.inside:
+                self._arm(self.limits.input_ms, self._input_late)
+            else:
+                self.server.idle[self] = None
+                self._arm(self.limits.front_idle_ms, self._idle_late)
+            self._resume()
 
-    def close_if_idle(self) -> None:
-        """Close, unless a request is being served or read, or the first one is still on its way."""
-        if self.used and self.current is None and not self.parser.inside and self.transport is not None:
-            self.transport.close()
+    def reject(self, status: int, body: bytes = b"") -> None:
+        """Answer the current request with an error that is the sender's own, and read no further.
+
+        Guards the table and the CPU against senders that ask again as soon as they are turned away.
+        """
+        self.current = None
+        self._end_with(response(status, {}, body, False))
 
     def _begin(self, message: Message) -> None:
         if self.timer is not None:
@@ -121,32 +260,70 @@
             self.timer = None
         self.current = message
         self.used = True
-        self.server.handler.handle(self, message)
+        self.server.silent.pop(self, None)
+        self.server.idle.pop(self, None)
+        try:
+            self.server.handler.handle(self, message)
+        except Exception:
+            # guards the connection: a fault of ours is answered too
+            log.exception("request failed")
+            if self.current is message:
+                self.reject(500)
 
-    def _watch_input(self) -> None:
-        """Guards sockets against clients that connect or begin a request and go on no further."""
-        inside = self.parser.inside
+    def _pause(self) -> None:
+        if not self.paused and self.transport is not None:
+            self.paused = True
+            self.transport.pause_reading()
+
+    def _resume(self) -> None:
+        if self.paused and self.transport is not None:
+            self.paused = False
+            self.transport.resume_reading()
+
+    def _count_reading(self, size: int) -> None:
+        self.server.reading += size - self.reading
+        self.reading = size
+
+    def _arm(self, delay_ms: float, then: Callable[[], None]) -> None:
         if self.timer is not None:
-            if inside and self.timer.when() <= self._loop_time() + self.limits.input_ms / 1000:
-                return  # a request that trickles in gets no new time with each byte
             self.timer.cancel()
-        delay = self.limits.input_ms if inside else self.limits.front_idle_ms
-        self.timer = asyncio.get_running_loop().call_later(delay / 1000, self._input_late)
+        self.timer = self.server._loop.call_later(delay_ms / 1000, then)
 
-    @staticmethod
-    def _loop_time() -> float:
-        return asyncio.get_running_loop().time()
+    def _first_late(self) -> None:
+        self.timer = None
+        if self.parser.inside:
+            self._end_with(response(408, {}, b"", False))
+        elif self.transport is not None:
+            self.transport.close()
 
     def _input_late(self) -> None:
         self.timer = None
         if self.current is None:
-            if self.parser.inside:
-                self._close_with(408)
-            elif self.transport is not None:
-                self.transport.close()
+            self._end_with(response(408, {}, b"", False))
 
-    def _close_with(self, status: int, headers: dict[str, str] | None = None) -> None:
-        self.last = True
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(response(status, headers or {}, b"", False))
+    def _idle_late(self) -> None:
+        self.timer = None
+        if self.current is None and self.transport is not None:
             self.transport.close()
+
+    def _end_with(self, data: bytes) -> None:
+        """Write the last answer, then half-close and pass over what still comes.
+
+        Guards the answer: a close with input unread resets the connection and may destroy it on its way.
+        """
+        self.last = True
+        self.waiting.clear()
+        self._count_reading(0)
+        self.parser.drop()
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        server = self.server
+        server.silent.pop(self, None)
+        server.idle.pop(self, None)
+        server.ending[self] = None
+        transport.write(data)
+        with contextlib.suppress(OSError):
+            transport.write_eof()
+        self._resume()
+        self._arm(self.limits.linger_close_ms, self.abort)
--- a/pebbledrift/net/http.py
+++ b/pebbledrift/net/http.py
@@ -11,8 +11,9 @@
 
 TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 TARGET = re.compile(r"[!-~]+\Z")
+CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 DIGITS = re.compile(r"[0-9]{1,15}\Z")
-HEX = re.compile(rb"[0-9A-Fa-f]{1,8}\Z")
+CHUNK = re.compile(rb"([0-9A-Fa-f]{1,8})(?:;[\t -~]*)?\Z")  # extensions are passed over, blanks are not
 REASONS = {
     200: "OK",
     204: "No Content",
@@ -20,6 +21,7 @@
     404: "Not Found",
     405: "Method Not Allowed",
     408: "Request Timeout",
+    409: "Conflict",
     411: "Length Required",
     413: "Content Too Large",
     431: "Request Header Fields Too Large",
@@ -78,6 +80,17 @@
         """Whether a message has begun and is not complete."""
         return self.mode != "head" or bool(self.buffer)
 
+    @property
+    def held(self) -> int:
+        """Bytes of the message that is not complete."""
+        return len(self.buffer) + (0 if self.message is None else len(self.message.body))
+
+    def drop(self) -> None:
+        """Forget what has come: nothing of it will be used."""
+        self.buffer = bytearray()
+        self.message = None
+        self.mode = "dropped"
+
     def feed(self, data: bytes | memoryview) -> Iterable[Message]:
         """Take bytes in; raises HttpError on what is malformed or oversized."""
         self.buffer += data
@@ -95,6 +108,8 @@
 
     def _advance(self) -> Message | None:
         while True:
+            if self.mode == "dropped":
+                return None
             if self.mode == "head":
                 message = self._head()
                 if message is None:
@@ -127,10 +142,11 @@
                 if line is None:
                     return None
                 if self.mode == "chunk":
-                    size = line.partition(b";")[0].strip()
-                    if not HEX.match(size):
+                    size = CHUNK.match(line)
+                    if not size:
                         raise HttpError(400, "malformed chunk size")
-                    self.left = int(size, 16)
+                    self.left = int(size[1], 16)
+                    self._check_room(self.left)
                     self.mode = "data" if self.left else "trailer"
                 elif line:
                     self.trailer += len(line)
@@ -146,12 +162,15 @@
 
     def _grow(self, data: bytearray) -> None:
         assert self.message is not None
-        if len(self.message.body) + len(data) > (
-            self.limits.line_bytes if self.stream else self.limits.body_bytes
-        ):
-            raise HttpError(413, "body too large")
+        self._check_room(len(data))
         self.message.body += data
 
+    def _check_room(self, size: int) -> None:
+        assert self.message is not None
+        most = self.limits.line_bytes if self.stream else self.limits.body_bytes
+        if len(self.message.body) + size > most:
+            raise HttpError(413, "body too large")
+
     def _line(self) -> bytearray | None:
         end = self.buffer.find(b"\n")
         if end < 0 or end > self.limits.head_bytes:
@@ -160,7 +179,10 @@
             return None
         line = self.buffer[:end]
         del self.buffer[: end + 1]
-        return line[:-1] if line.endswith(b"\r") else line
+        if not line.endswith(b"\r"):
+            # others may take a bare line feed for data: the body would end elsewhere for them
+            raise HttpError(400, "bare line feed")
+        return line[:-1]
 
     def _head(self) -> Message | None:
         while self.buffer[:2] == b"\r\n":
@@ -179,7 +201,7 @@
             if not colon or not TOKEN.match(name):
                 raise HttpError(400, "malformed header")
             name, value = name.lower(), value.strip(" \t")
-            if any(c < " " and c != "\t" for c in value):
+            if CONTROL.search(value):
                 raise HttpError(400, "control character in a header")
             if name in headers:
                 # two lengths or ids that differ could be read differently by whoever is next
@@ -212,6 +234,7 @@
         length = message.headers.get("content-length")
         if coding is not None:
             if length is not None:
+                # one of the two may hide another request in the body from whoever reads only the other
                 raise HttpError(400, "both a length and a transfer coding")
             if coding.lower() != "chunked":
                 raise HttpError(501, "unknown transfer coding")
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -12,7 +12,7 @@
 
 from pebbledrift import inventory
 from pebbledrift.config import Config, ConfigError, load
-from pebbledrift.logs import KeyValueFormatter
+from pebbledrift.logs import FloodFilter, KeyValueFormatter
 from pebbledrift.pool import worker_number
 from tests.node import SETTINGS
 
@@ -132,3 +132,14 @@
         record = logging.makeLogRecord(given)
         line = KeyValueFormatter().format(record)
         self.assertRegex(line, r'^time=\S+ level=info logger=x event="it happened" peer="a\\"\\nb"$')
+
+    def test_an_event_by_the_hundred_is_passed_a_few_times_a_second(self) -> None:
+        flood = FloodFilter()
+        given = {"msg": "rejected", "name": "front", "created": 5.0}
+        records = [logging.makeLogRecord(given) for _ in range(300)]
+        passed = sum(flood.filter(r) for r in records)
+        self.assertLess(passed, 30)
+        self.assertTrue(flood.filter(logging.makeLogRecord({**given, "msg": "another"})))
+        later = logging.makeLogRecord({**given, "created": 6.0})
+        self.assertTrue(flood.filter(later))
+        self.assertEqual(vars(later)["suppressed"], 300 - passed)
