SIGHUP reads the configuration again and goes over to another discovery

Checked: load() let GW_DISCOVERY win over the replaced file, so that a handler alone would have stayed with the old address; PoolConfig asked for changes since its own rev, which another discovery need not share; the inventory was read on the loop. Now a SIGHUP is held from the first line of main until its handler is there; file and inventory are read and checked in a thread; a faulty one is logged and changes nothing; discovery, inventory, tubes and log level change live, the log names the keys that take a restart. A new discovery is asked for the whole list, then watched from its version; workers and connections stay. A malformed line of a watch now leads to the whole list as well.

--- a/pebbledrift/__main__.py
+++ b/pebbledrift/__main__.py
@@ -9,8 +9,9 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 
-from pebbledrift import logs
+from pebbledrift import inventory, logs
 from pebbledrift.config import Config, ConfigError, load
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.engine import Engine
@@ -22,13 +23,14 @@
 from pebbledrift.net.datagrams import PeerSocket
 from pebbledrift.net.front import FrontServer
 from pebbledrift.pool import PoolConfig
+from pebbledrift.reload import Reloader
 from pebbledrift.store.service import NodeStore
 from pebbledrift.store.table import StoreError
 
 log = logging.getLogger("pebbledrift")
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, read_again: Callable[[], Config]) -> None:
     """Run the node until it is told to end and owes nothing any more."""
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(
@@ -62,12 +64,20 @@
     tubes = None
     if config.beanstalk is not None:
         tubes = start_beanstalk(config, engine, clock, pool, store)
-        loop.add_signal_handler(signal.SIGHUP, store.reload)
         servers.append(
             await loop.create_server(
                 lambda: BeanstalkSocket(config.limits, tubes), *config.beanstalk.listen, backlog=128
             )
         )
+
+    def apply(new: Config, hosts: list[Host]) -> None:
+        if tubes is not None:
+            store.load(new, hosts)
+        pool.move(new.discovery)
+        logging.getLogger().setLevel(new.log_level.upper())
+
+    loop.add_signal_handler(signal.SIGHUP, Reloader(config, read_again, apply).asked)
+    hold_sighup(False)
     gc.collect()
     gc.freeze()
     for server in servers:
@@ -120,16 +130,22 @@
     store.tubes_changed = tubes.take_tubes
     tubes.reply_deleted = store.answer_fetched
     tubes.noted = store.note_put
-    store.load()
+    store.load(config, inventory.read(config.inventory) if config.inventory else [])
     store.recover(recovered)
     return tubes
 
 
+def hold_sighup(hold: bool) -> None:
+    """Guards a node that starts: a SIGHUP before its handler is there would end it; held, it comes then."""
+    signal.pthread_sigmask(signal.SIG_BLOCK if hold else signal.SIG_UNBLOCK, {signal.SIGHUP})
+
+
 def main() -> int:
     """Read the configuration and serve."""
     parser = argparse.ArgumentParser(prog="pebbledrift", description="A dispatcher node.")
     parser.add_argument("--config", help="configuration file (TOML or JSON); else $GW_CONFIG names it")
     arguments = parser.parse_args()
+    hold_sighup(True)
     try:
         config = load(os.environ, arguments.config)
     except ConfigError as error:
@@ -137,7 +153,7 @@
         return 2
     logs.setup(config.log_level)
     try:
-        asyncio.run(serve(config))
+        asyncio.run(serve(config, lambda: load(os.environ, arguments.config, replaced=True)))
     except (InventoryError, StoreError, OSError) as error:
         log.error("cannot start", extra={"error": str(error)})
         return 2
--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -68,6 +68,7 @@
     linger_close_ms: float = 1000.0  # after an error the other side has this long to read it and close
     front_idle_ms: float = 75_000.0
     watch_connect_ms: float = 1000.0
+    list_ms: float = 2500.0  # a call for the whole list: calls wait for one another at discovery
     watch_silent_ms: float = 3000.0  # an empty line comes every 2 s
     watch_retry_ms: float = 200.0
     watch_retry_most_ms: float = 1000.0
@@ -270,8 +271,11 @@
     return BeanstalkConfig(address(table.get("listen"), "beanstalk.listen"), tuple(tubes))
 
 
-def load(environ: Mapping[str, str], path: str | None = None) -> Config:
-    """Read the file that the command line or $GW_CONFIG names; the other GW_ variables win over it."""
+def load(environ: Mapping[str, str], path: str | None = None, replaced: bool = False) -> Config:
+    """Read the file that the command line or $GW_CONFIG names; the other GW_ variables win over it.
+
+    In a file that was `replaced` since the start, discovery is newer than what the environment says of it.
+    """
     where = path or environ.get("GW_CONFIG")
     if not where:
         raise ConfigError("GW_CONFIG: not set, and no configuration file given")
@@ -282,7 +286,7 @@
     except (ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"settings: {error}") from error
     for key, variable in (("name", "GW_NAME"), ("listen", "GW_LISTEN"), ("discovery", "GW_DISCOVERY")):
-        if variable in environ:
+        if variable in environ and not (replaced and key == "discovery" and config.get(key)):
             config[key] = environ[variable]
 
     def maybe(key: str) -> Address | None:
--- a/pebbledrift/pool.py
+++ b/pebbledrift/pool.py
@@ -8,9 +8,10 @@
 import logging
 import random
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Any
 
-from pebbledrift.config import Address, Config, ConfigError, address
+from pebbledrift.config import Address, Config, ConfigError, Limits, address
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.engine import Engine
 from pebbledrift.core.model import Destination
@@ -51,7 +52,8 @@
         self.extra_entries: tuple[api.WorkerEntry, ...] = ()
         self.states: dict[int, api.WorkerState] = {}
         self.budget = SocketBudget(config.limits.destination_sockets)
-        self.rev = 0
+        self.rev: int | None = 0  # None: the whole list has to be asked for
+        self.discovery = config.discovery
         self.unknown: set[str] = set()
         self.heard = config.discovery is None
         self.random = random.Random(config.seed)
@@ -63,9 +65,22 @@
 
     def watch(self) -> None:
         """Begin to follow discovery; the watch then renews itself for good."""
-        if self._watching is None and self.config.discovery is not None:
+        if self._watching is None and self.discovery is not None:
             loop = asyncio.get_running_loop()
-            self._watching = loop.create_task(self._follow(self.config.discovery))
+            self._watching = loop.create_task(self._follow(self.discovery))
+
+    def move(self, discovery: Address | None) -> None:
+        """Follow another discovery. Workers, their connections and what is known of them stay."""
+        if discovery == self.discovery:
+            return
+        log.info("discovery moved", extra={"address": str(discovery)})
+        self.discovery = discovery
+        # the other may count its versions differently: changes since one of ours could hide a drain
+        self.rev = None
+        if self._watching is not None:
+            self._watching.cancel()
+            self._watching = None
+            self.watch()
 
     async def stop(self) -> None:
         """End the watch."""
@@ -105,7 +120,7 @@
             entries += self.extra_entries  # or the module would take the inventory's workers for gone
         form = api.ListForm.CACHED if cached else api.ListForm.FULL if full else api.ListForm.DELTA
         rev = news.get("rev")
-        if isinstance(rev, int):
+        if isinstance(rev, int) and not isinstance(rev, bool):
             self.rev = rev
         self.engine.pool_changed(api.WorkerList(form, tuple(entries)))
 
@@ -152,22 +167,83 @@
 
     async def _follow(self, discovery: Address) -> None:
         limits = self.config.limits
+        host = f"{discovery[0]}:{discovery[1]}"
         wait = limits.watch_retry_ms
         while True:
-            watch = Watch(self)
+            heard = False
             try:
-                async with asyncio.timeout(limits.watch_connect_ms / 1000):
-                    await asyncio.get_running_loop().create_connection(lambda w=watch: w, *discovery)  # type: ignore[misc]
-                host = f"{discovery[0]}:{discovery[1]}"
-                watch.begin(f"/api/targets?follow=1&since={self.rev}", host)
-                await watch.ended
+                if self.rev is None:
+                    await self._fetch(discovery, host)
+                heard = await self._watch(discovery, host)
             except OSError as error:
                 log.info("discovery out of reach", extra={"error": str(error)})
-            finally:
-                watch.abort()
-            wait = limits.watch_retry_ms if watch.heard else min(2 * wait, limits.watch_retry_most_ms)
+            wait = limits.watch_retry_ms if heard else min(2 * wait, limits.watch_retry_most_ms)
             await asyncio.sleep(wait * self.random.uniform(0.5, 1.0) / 1000)
 
+    async def _fetch(self, discovery: Address, host: str) -> None:
+        """Take the whole list in, whatever has been told before."""
+        limits = self.config.limits
+        call = Listing(limits)
+        try:
+            async with asyncio.timeout(limits.list_ms / 1000):
+                await asyncio.get_running_loop().create_connection(lambda: call, *discovery)
+                call.begin("/api/targets", host)
+                news = await call.ended
+        finally:
+            call.abort()
+        if news is None:
+            raise ConnectionError("no whole list")
+        self.heard = True
+        self.rev = 0
+        self.take({**news, "all": True})
+
+    async def _watch(self, discovery: Address, host: str) -> bool:
+        """One watch to its end; returns whether it told anything."""
+        watch = Watch(self)
+        try:
+            async with asyncio.timeout(self.config.limits.watch_connect_ms / 1000):
+                await asyncio.get_running_loop().create_connection(lambda: watch, *discovery)
+            watch.begin(f"/api/targets?follow=1&since={self.rev}", host)
+            await watch.ended
+        finally:
+            watch.abort()
+        return watch.heard
+
+
+class Listing(HttpProtocol):
+    """One call for the whole list."""
+
+    def __init__(self, limits: Limits) -> None:
+        super().__init__(replace(limits, body_bytes=limits.line_bytes), request=False)
+        self.ended: asyncio.Future[dict[str, Any] | None] = asyncio.get_running_loop().create_future()
+
+    def begin(self, target: str, host: str) -> None:
+        """Ask."""
+        assert self.transport is not None
+        self.transport.write(request("GET", target, {"Host": host}))
+
+    def message_received(self, message: Message) -> None:
+        news = None
+        if message.status == 200:
+            try:
+                news = json.loads(bytes(message.body))
+            except (ValueError, RecursionError) as error:
+                log.warning("malformed list from discovery", extra={"error": str(error)})
+        if not self.ended.done():
+            # a list without its targets would count as a fleet that has left
+            whole = isinstance(news, dict) and isinstance(news.get("targets"), list)
+            self.ended.set_result(news if whole else None)
+
+    def eof_received(self) -> bool:
+        last = self.parser.close()
+        if last is not None:
+            self.message_received(last)
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if not self.ended.done():
+            self.ended.set_result(None)
+
 
 class Watch(HttpProtocol):
     """One watch: a response that stays open and holds one object per line."""
@@ -214,7 +290,7 @@
         except (ValueError, RecursionError) as error:
             # a gap in the changes could hide a drain: the whole list is asked for again
             log.warning("malformed line from discovery", extra={"error": str(error)})
-            self.pool.rev = 0
+            self.pool.rev = None
             self.abort()
             return
         self.heard = self.pool.heard = True
--- a/pebbledrift/store/service.py
+++ b/pebbledrift/store/service.py
@@ -12,7 +12,7 @@
 from pebbledrift.config import Config, ConfigError, TubeConfig, read_tube
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.model import Answer, Operation, Verdict
-from pebbledrift.inventory import Host, InventoryError, host, read
+from pebbledrift.inventory import Host, InventoryError, host
 from pebbledrift.net.datagrams import PeerSocket
 from pebbledrift.store.journal import Journal
 from pebbledrift.store.replica import Replica
@@ -45,16 +45,16 @@
 
     # -- inventory and configuration
 
-    def load(self) -> None:
+    def load(self, config: Config, hosts: list[Host]) -> None:
         """Write what this node's files say; what they no longer name is removed."""
         wanted: dict[str, object] = {}
         prefixes = []
-        if self.config.inventory:
+        if config.inventory:
             prefixes.append(HOST)
-            wanted.update({HOST + h.name: h.values() for h in read(self.config.inventory)})
-        if self.config.beanstalk is not None and self.config.beanstalk.tubes:
+            wanted.update({HOST + h.name: h.values() for h in hosts})
+        if config.beanstalk is not None and config.beanstalk.tubes:
             prefixes.append(TUBE)
-            for tube in self.config.beanstalk.tubes:
+            for tube in config.beanstalk.tubes:
                 wanted[TUBE + tube.name] = {k: v for k, v in tube.source.items() if k != "name"}
         text = json.dumps(asdict(self.config.settings) | {"me": 0, "zone": 0}, sort_keys=True)
         wanted[NODE + self.config.name] = hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
@@ -66,13 +66,6 @@
         self._apply(HOST)
         self._apply(TUBE)
 
-    def reload(self) -> None:
-        """Read the files again; one that is at fault changes nothing."""
-        try:
-            self.load()
-        except (InventoryError, StoreError) as error:
-            log.error("inventory not taken", extra={"error": str(error)})
-
     def _changed(self, entry: Entry) -> None:
         for prefix in (HOST, TUBE):
             if entry.key.startswith(prefix) and prefix not in self._due:
--- a/tests/node.py
+++ b/tests/node.py
@@ -134,15 +134,20 @@
 class Discovery(StandIn):
     """Writes the whole list to each watch, then the changes."""
 
-    def __init__(self, targets: list[dict[str, Any]]) -> None:
+    def __init__(self, targets: list[dict[str, Any]], rev: int = 7) -> None:
         super().__init__()
-        self.targets = targets
+        self.targets, self.rev = targets, rev
         self.watches: list[queue.Queue[bytes | None]] = []
         self.asked: queue.Queue[str] = queue.Queue()
 
     def handle(self, request: Server, body: bytes) -> None:
+        whole = json.dumps({"rev": self.rev, "all": True, "targets": self.targets}).encode()
+        if "follow" not in request.path:
+            self.asked.put(request.path)
+            request.reply(200, body=whole)
+            return
         news: queue.Queue[bytes | None] = queue.Queue()
-        news.put(json.dumps({"rev": 7, "all": True, "targets": self.targets}).encode() + b"\n")
+        news.put(whole + b"\n")
         self.watches.append(news)
         self.asked.put(request.path)
         request.send_response(200)
@@ -153,7 +158,7 @@
         request.drop()
 
     def change(self, target: dict[str, Any]) -> None:
-        news = {"rev": 8, "all": False, "targets": [target]}
+        news = {"rev": self.rev + 1, "all": False, "targets": [target]}
         self.watches[-1].put(json.dumps(news).encode() + b"\n")
 
 
@@ -214,9 +219,10 @@
     """One process of the program; the ports are read from its log."""
 
     def __init__(self, folder: str, config: dict[str, Any]) -> None:
-        path = Path(folder) / "config.json"
-        path.write_text(json.dumps({"name": "n0", "seed": "ab", **config}))
-        command = [sys.executable, "-m", "pebbledrift", "--config", str(path)]
+        self.path = Path(folder) / "config.json"
+        self.config = {"name": "n0", "seed": "ab", **config}
+        self.path.write_text(json.dumps(self.config))
+        command = [sys.executable, "-m", "pebbledrift", "--config", str(self.path)]
         environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
         self.process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True, env=environ)
         self.log: list[str] = []
@@ -251,6 +257,14 @@
         threading.Thread(target=lambda: answers.put(self.job(*args, **named)), daemon=True).start()
         return answers
 
+    def reload(self, **changes: Any) -> None:
+        """Replace the configuration, and SIGHUP; returns once the node has said what it made of it."""
+        told = sum("event=\"configuration " in line for line in self.log)
+        text = json.dumps({**self.config, **changes}) if changes else "{"
+        self.path.write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+        eventually(lambda: sum("event=\"configuration " in line for line in self.log) > told)
+
     def terminate(self) -> int:
         """SIGTERM, and the exit code."""
         self.process.send_signal(signal.SIGTERM)
--- a/tests/test_beanstalk.py
+++ b/tests/test_beanstalk.py
@@ -353,7 +353,7 @@
         path = Path(folder) / "hosts.csv"
         path.write_text("zone\nno names\n")
         node.process.send_signal(signal.SIGHUP)
-        eventually(lambda: any("inventory not taken" in line for line in node.log))
+        eventually(lambda: any("configuration not taken" in line for line in node.log))
         worker.send("reserve-with-timeout 15")
         path.write_text("name,zone\nw9,caxias\n")
         node.process.send_signal(signal.SIGHUP)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -36,6 +36,15 @@
         both = limits.front_sockets + limits.beanstalk_sockets
         self.assertLess(both + limits.destination_sockets, 190)
 
+    def test_a_replaced_file_wins_over_the_environment_for_discovery_alone(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "c.json"
+            path.write_text(json.dumps({"settings": SETTINGS, "discovery": "new:2", "listen": "new:2"}))
+            environ = {"GW_CONFIG": str(path), "GW_DISCOVERY": "old:1", "GW_LISTEN": "old:1"}
+            self.assertEqual(load(environ).discovery, ("old", 1))
+            found = load(environ, replaced=True)
+        self.assertEqual((found.discovery, found.listen), (("new", 2), ("old", 1)))
+
     def test_idle_destinations_are_closed_well_before_they_close_themselves(self) -> None:
         limits = {**SETTINGS["limits"], "idle_close_ms": 8000.0}
         self.assertLessEqual(self.read(settings={**SETTINGS, "limits": limits}).limits.idle_ms, 4000.0)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,7 +6,7 @@
 import socket
 import threading
 
-from tests.node import WAIT, NodeTest, Server, Worker, ask, eventually
+from tests.node import WAIT, Discovery, NodeTest, Server, Worker, ask, eventually
 
 
 def serve(worker: Worker, request: Server, job: str) -> None:
@@ -207,6 +207,30 @@
         discovery.change(workers[1].target("terminating"))
         eventually(lambda: ask(node.address, "GET", "/-/ready")[0] == 503)
 
+    def test_sighup_goes_over_to_another_discovery_and_keeps_what_is_open(self) -> None:
+        # it ended the process where the beanstalkd front was off
+        worker = Worker("s-1", keep)
+        node, old = self.platform(worker)
+        first = node.later("a", "fechamento", 20.0)
+        self.assertEqual(worker.jobs.get(timeout=WAIT), "a")
+        node.reload()  # a faulty file: the old one goes on
+        new = Discovery([worker.target()], rev=3)
+        self.addCleanup(new.close)
+        node.reload(discovery=new.address, name="other")
+        self.assertTrue(any("fixed=name" in line for line in node.log))
+        self.assertNotIn("follow", new.asked.get(timeout=WAIT))  # the whole list: it counts from elsewhere
+        self.assertIn("since=3", new.asked.get(timeout=WAIT))
+        old.watches[-1].put(None)
+        worker.call("a", "done", result="kept")
+        self.assertEqual(first.get(timeout=WAIT)[::2], (200, b"kept"))
+        second = node.later("b")
+        self.assertEqual(worker.jobs.get(timeout=WAIT), "b")
+        worker.call("b", "done", result="after")
+        self.assertEqual(second.get(timeout=WAIT)[::2], (200, b"after"))
+        new.change(worker.target("terminating"))
+        eventually(lambda: ask(node.address, "GET", "/-/ready")[0] == 503)
+        self.assertEqual(node.terminate(), 0)
+
     def test_sigterm_answers_what_is_open_and_refuses_what_comes_later(self) -> None:
         worker, other = Worker("s-1", keep), Worker("s-2", keep)
         other.jobs = worker.jobs
