A worker's 4xx is the request's fault, and the beanstalkd front guards itself against bad clients

Now a 4xx other than 408, 425 and 429 fails the request alone (Engine.unusable), until a worker gives turned_down of them in a row. Now both fronts end connections the same way (net/ending.py), silent ones make room, and lines that are no commands end the connection after a while; who has spoken may still be idle for good. The peers' test reserves before it kicks: it had raced the class's aim once on a busy machine.

--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -48,6 +48,8 @@
     reply_jobs: int = 10_000  # answers kept for producers to fetch
     reply_ttr_s: int = 60
     watched_tubes: int = 64
+    bad_commands: int = 20  # lines in a row that are no commands, until the connection ends
+    turned_down: int = 3  # requests in a row that a worker finds at fault, until it counts as ill itself
     store_entries: int = 20_000
     store_value_bytes: int = 150  # a value has to fit one datagram with its key
     store_key_bytes: int = 64
--- a/pebbledrift/core/engine.py
+++ b/pebbledrift/core/engine.py
@@ -131,6 +131,12 @@
             self._serve(operation, result or b"")
         self._close_attempt(attempt, kind, report)
 
+    def unusable(self, attempt: Attempt, report: api.Report | None = None) -> None:
+        """The worker finds the request itself at fault: it fails for good, and nothing is held against it."""
+        if attempt.open:
+            self._finish(attempt.operation, Answer(Verdict.FAILED, reason="not usable"))
+            self._close_attempt(attempt, api.OutcomeKind.CANCELLED, report)
+
     def noted(self, attempt: Attempt, progress: api.Progress, share: float) -> None:
         """An attempt has begun or goes on."""
         if attempt.open:
--- a/pebbledrift/fronts/beanstalk.py
+++ b/pebbledrift/fronts/beanstalk.py
@@ -216,12 +216,21 @@
     # -- sockets
 
     def opened(self, socket: BeanstalkSocket) -> bool:
-        if len(self.sessions) >= self.limits.beanstalk_sockets:
+        if len(self.sessions) >= self.limits.beanstalk_sockets and not self._make_room():
             return False
         self.last_session += 1
         self.sessions[socket] = Session(socket, self.last_session)
         return True
 
+    def _make_room(self) -> bool:
+        """Guards the table against connections that say nothing: the oldest of them goes."""
+        oldest = next((s for s in self.sessions if not s.spoken), None)
+        if oldest is None or self._loop.time() - oldest.since < self.limits.young_ms / 1000:
+            return False
+        self.closed(oldest)
+        oldest.close()
+        return True
+
     def closed(self, socket: BeanstalkSocket) -> None:
         session = self.sessions.pop(socket, None)
         if session is None:
@@ -237,10 +246,11 @@
     def command(self, socket: BeanstalkSocket, words: list[str]) -> None:
         known = self._commands.get(words[0])
         if known is None:
-            socket.reply("UNKNOWN_COMMAND")
+            socket.bad_line("UNKNOWN_COMMAND")
         elif len(words) - 1 != known[0]:
-            socket.reply("BAD_FORMAT")
+            socket.bad_line("BAD_FORMAT")
         else:
+            socket.bad = 0
             self._count(f"cmd-{words[0]}")
             known[1](self.sessions[socket], words[1:])
 
--- a/pebbledrift/net/beanstalk.py
+++ b/pebbledrift/net/beanstalk.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from pebbledrift.config import Limits
+from pebbledrift.net.ending import Ending
 
 LINE_MOST = 224  # bytes of a command line, its end included: the protocol's figure
 CRLF = b"\r\n"
@@ -50,18 +51,27 @@
         self.skip_line = False
         self.waiting = False  # a reserve is out
         self.timer: asyncio.TimerHandle | None = None
+        self.spoken = False  # a command has come
+        self.begun = False  # a command or body has begun and is not complete
+        self.bad = 0  # lines in a row that were no commands
+        self.since = asyncio.get_running_loop().time()
+        self.ending: Ending | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         transport.set_write_buffer_limits(high=self.limits.write_buffer_bytes)
         if not self.handler.opened(self):
-            transport.write(b"OUT_OF_MEMORY\r\n")
-            transport.close()
+            self.end_with("OUT_OF_MEMORY")
+            return
+        # guards sockets against clients that connect and say nothing
+        self._arm(self.limits.front_idle_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self.timer is not None:
             self.timer.cancel()
+        if self.ending is not None:
+            self.ending.cancel()
         self.handler.closed(self)
 
     def eof_received(self) -> bool:
@@ -76,6 +86,9 @@
         return self.scratch
 
     def buffer_updated(self, nbytes: int) -> None:
+        if self.ending is not None:
+            self.ending.passed_over(nbytes)
+            return
         self.buffer += self.scratch[:nbytes]
         if self.waiting and len(self.buffer) > self.limits.body_bytes:
             self.close()  # nothing sensible sends so much behind a reserve that waits
@@ -84,7 +97,7 @@
 
     def reply(self, line: str, body: bytes | None = None) -> None:
         """Write one reply."""
-        if self.transport is None or self.transport.is_closing():
+        if self.transport is None or self.transport.is_closing() or self.ending is not None:
             return
         data = line.encode("ascii") + CRLF
         self.transport.write(data if body is None else data + body + CRLF)
@@ -94,6 +107,27 @@
         if self.transport is not None:
             self.transport.close()
 
+    def end_with(self, line: str) -> None:
+        """Write the last reply and read no further."""
+        if self.transport is None or self.transport.is_closing() or self.ending is not None:
+            return
+        self.buffer.clear()
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        self.ending = Ending(self.transport, self.limits, line.encode("ascii") + CRLF)
+
+    def bad_line(self, word: str) -> None:
+        """Answer a line that is no command; guards the CPU against a client that sends nothing else."""
+        self.bad += 1
+        if self.bad >= self.limits.bad_commands:
+            self.end_with(word)
+        else:
+            self.reply(word)
+
+    def _open(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing() and self.ending is None
+
     def resume(self) -> None:
         """The waiting command has its reply: go on with what came meanwhile."""
         self.waiting = False
@@ -101,7 +135,7 @@
 
     def advance(self) -> None:
         """Carry out all commands that are complete."""
-        while not self.waiting and self.transport is not None and not self.transport.is_closing():
+        while not self.waiting and self._open():
             if self.skip:
                 dropped = min(self.skip, len(self.buffer))
                 del self.buffer[:dropped]
@@ -120,7 +154,8 @@
                     self.handler.put(self, words, body)
             elif not self._line():
                 break
-        self._watch_input()
+        if self._open():
+            self._watch_input()
 
     def _line(self) -> bool:
         end = self.buffer.find(CRLF)
@@ -130,7 +165,7 @@
             # guards memory: what is too long for a command is passed over to its end
             if not self.skip_line:
                 self.skip_line = True
-                self.reply("BAD_FORMAT")
+                self.bad_line("BAD_FORMAT")
             if end < 0:
                 del self.buffer[:-1]
                 return False
@@ -142,18 +177,22 @@
         try:
             line = raw.decode("ascii")
         except UnicodeDecodeError:
-            self.reply("BAD_FORMAT")
+            self.bad_line("BAD_FORMAT")
             return True
+        self.spoken = True
         words = line.split(" ")
         if words[0] != "put":
             self.handler.command(self, words)
             return True
         sizes = [whole(w) for w in words[1:]]
         if len(sizes) != 4 or None in sizes:
-            self.reply("BAD_FORMAT")
+            self.bad_line("BAD_FORMAT")
             return True
+        self.bad = 0
         self.need = sizes[3] or 0
-        if self.need > self.limits.body_bytes:
+        if self.need > self.limits.linger_bytes:
+            self.end_with("JOB_TOO_BIG")  # guards the CPU: so much is not worth passing over to its end
+        elif self.need > self.limits.body_bytes:
             self.reply("JOB_TOO_BIG")
             self.skip = self.need + 2
         else:
@@ -161,10 +200,27 @@
         return True
 
     def _watch_input(self) -> None:
-        """Guards sockets and memory against a body that is begun and never ends."""
-        begun = self.pending is not None or self.skip > 0
-        if not begun and self.timer is not None:
-            self.timer.cancel()
+        """Guards sockets and memory against a command or body that is begun and never ends."""
+        begun = self.pending is not None or self.skip > 0 or (bool(self.buffer) and not self.waiting)
+        if begun != self.begun:
+            self.begun = begun
+            if begun:
+                self._arm(self.limits.input_ms)
+            elif self.timer is not None:
+                self.timer.cancel()
+                self.timer = None
+        elif not begun and self.spoken and self.timer is not None:
+            self.timer.cancel()  # who has spoken may be idle for as long as the protocol allows: for good
             self.timer = None
-        elif begun and self.timer is None:
-            self.timer = asyncio.get_running_loop().call_later(self.limits.input_ms / 1000, self.close)
+
+    def _arm(self, delay_ms: float) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = asyncio.get_running_loop().call_later(delay_ms / 1000, self._late)
+
+    def _late(self) -> None:
+        self.timer = None
+        if self.begun:
+            self.end_with("BAD_FORMAT" if self.pending is None else "EXPECTED_CRLF")
+        else:
+            self.close()
--- a/pebbledrift/net/destinations.py
+++ b/pebbledrift/net/destinations.py
@@ -21,6 +21,8 @@
 # the names that workers write, beside those that the settings use
 NAMES = {**REPORT_NAMES, "util": "busy", "inflight": "held", "queue": "waiting"}
 
+OF_THE_WORKER = frozenset((408, 425, 429))  # of the 4xx those that tell of a worker's state
+
 
 def read_report(value: object) -> api.Report | None:
     """A load report from its object or JSON text; what is malformed counts as none."""
@@ -268,6 +270,7 @@
         self.pool = ConnectionPool(address, limits, budget)
         self.host = f"{address[0]}:{address[1]}"
         self.exchanges: dict[Attempt, Exchange] = {}
+        self.turned_down = 0  # requests in a row that the worker finds at fault
 
     def send(self, attempt: Attempt) -> None:
         work = attempt.operation.work
@@ -314,11 +317,17 @@
             self.engine.ended(attempt, kind)
             return
         if message.status == 202:
+            self.turned_down = 0
             return  # taken: what becomes of it comes by call-back
         report = read_report(message.headers.get("x-load-report", ""))
         rejected = message.status in (503, 504) and message.headers.get("x-rejected") == "1"
-        if message.status in (400, 404):
-            log.error("destination does not know the request", extra={"status": message.status})
+        if 400 <= message.status < 500 and message.status not in OF_THE_WORKER:
+            self.turned_down += 1
+            log.info("turned down", extra={"status": message.status, "id": attempt.operation.id})
+            if self.turned_down <= self.limits.turned_down:
+                # guards the worker's good name: the fault is the request's, and any other worker's answer too
+                self.engine.unusable(attempt, report)
+                return
         outcome = api.OutcomeKind.REFUSED if rejected else api.OutcomeKind.ERROR
         self.engine.ended(attempt, outcome, report=report)
 
--- a/pebbledrift/net/front.py
+++ b/pebbledrift/net/front.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import socket
 from collections import deque
@@ -11,6 +10,7 @@
 from typing import Protocol
 
 from pebbledrift.config import Address, Limits
+from pebbledrift.net.ending import Ending
 from pebbledrift.net.http import HttpError, HttpProtocol, Message, response
 
 log = logging.getLogger(__name__)
@@ -151,7 +151,7 @@
         self.used = False  # a request has come
         self.paused = False
         self.reading = 0  # bytes of a request that is not complete
-        self.passed_over = 0  # bytes of input since the last answer
+        self.ending: Ending | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -175,6 +175,8 @@
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
+        if self.ending is not None:
+            self.ending.cancel()
 
     def eof_received(self) -> bool:
         return False
@@ -182,11 +184,8 @@
     def buffer_updated(self, nbytes: int) -> None:
         if not self.last:
             super().buffer_updated(nbytes)
-            return
-        # guards the node against input without end behind the last answer
-        self.passed_over += nbytes
-        if self.current is None and self.passed_over > self.limits.linger_bytes:
-            self.abort()
+        elif self.ending is not None:
+            self.ending.passed_over(nbytes)
 
     def message_received(self, message: Message) -> None:
         if self.last:
@@ -307,23 +306,18 @@
             self.transport.close()
 
     def _end_with(self, data: bytes) -> None:
-        """Write the last answer, then half-close and pass over what still comes.
-
-        Guards the answer: a close with input unread resets the connection and may destroy it on its way.
-        """
+        """Write the last answer and read no further."""
         self.last = True
         self.waiting.clear()
         self._count_reading(0)
         self.parser.drop()
-        transport = self.transport
-        if transport is None or transport.is_closing():
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.transport is None or self.transport.is_closing():
             return
-        server = self.server
-        server.silent.pop(self, None)
-        server.idle.pop(self, None)
-        server.ending[self] = None
-        transport.write(data)
-        with contextlib.suppress(OSError):
-            transport.write_eof()
+        self.server.silent.pop(self, None)
+        self.server.idle.pop(self, None)
+        self.server.ending[self] = None
+        self.ending = Ending(self.transport, self.limits, data)
         self._resume()
-        self._arm(self.limits.linger_close_ms, self.abort)
--- a/tests/test_beanstalk.py
+++ b/tests/test_beanstalk.py
@@ -336,8 +336,10 @@
         delayed = producer.put("pesagem.acme", delay=1000)
         peer.sendto(pack(Entry("tube/pesagem.acme", None, Version(now.ms + 10_000, 1))), to)
         eventually(lambda: producer.ask("put 0 0 9 1\r\nx") == "NOT_FOUND")
+        worker.send("reserve-with-timeout 15")
         self.assertEqual(producer.ask(f"kick-job {delayed}"), "KICKED")
-        self.assertEqual(worker.reserve()[0], delayed)  # what was put before keeps its class and its answer
+        # what was put before keeps its class and its answer
+        self.assertEqual(worker.line(), f"RESERVED {delayed} 2")
         told: list[str] = []
         while f'op/n0.{number} "sent"' not in told:
             data = peer.recv(2048)
@@ -361,6 +363,40 @@
         number = producer.put("pesagem.acme")
         self.assertEqual(worker.line(), f"RESERVED {number} 2")
 
+    def test_bad_clients_get_an_error_or_a_close_and_idle_workers_stay(self) -> None:
+        limits = {"input_ms": 300, "front_idle_ms": 600, "bad_commands": 3}
+        node = self.front(node=limits)
+        producer, worker = self.client(node), self.client(node, "w1")
+        self.assertEqual(producer.ask("list-tube-used"), "USING default")
+        silent, half, body, junk, huge = (self.client(node) for _ in range(5))
+        half.socket.sendall(b"use pesa")
+        body.send("put 0 0 9 5")
+        for _ in range(5):
+            junk.send("GET / HTTP/1.1")
+        huge.send(f"put 0 0 9 {60 * 1024 * 1024}")
+        huge.send("x" * 300_000)
+        for client, words in (
+            (silent, b""),
+            (half, b"BAD_FORMAT\r\n"),
+            (body, b"EXPECTED_CRLF\r\n"),
+            (junk, b"UNKNOWN_COMMAND\r\n" * 3),
+            (huge, b"JOB_TOO_BIG\r\n"),
+        ):
+            self.assertEqual(client.file.read(), words)
+        number = producer.put("pesagem.acme")
+        self.assertEqual(worker.reserve()[0], number)
+
+    def test_silent_connections_make_room(self) -> None:
+        node = self.front(node={"beanstalk_sockets": 4})
+        silent = [self.client(node) for _ in range(4)]
+
+        def enters() -> bool:
+            client = self.client(node)
+            return client.ask("list-tube-used") == "USING default"
+
+        eventually(enters)
+        self.assertEqual(silent[0].file.read(), b"")
+
     def test_greenstalk_drives_it(self) -> None:
         node = self.front()
         host, _, port = node.addresses[0].partition(":")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -84,6 +84,30 @@
         for i in range(6):
             self.assertEqual(node.job(f"j{i}")[0], 200)
 
+    def test_a_request_that_a_worker_cannot_use_does_not_cost_it_its_place(self) -> None:
+        # its 400 had counted as the worker's error, and the only worker was left alone for seconds
+        def choosy(worker: Worker, request: Server, job: str) -> None:
+            if job.startswith("bad"):
+                request.reply(400)
+            else:
+                serve(worker, request, job)
+
+        worker = Worker("s-1", choosy)
+        node, _ = self.platform(worker)
+        for name in ("pesagem", "fechamento"):
+            self.assertEqual(node.job(f"bad-{name}", name)[0], 502)
+            self.assertEqual(node.job(f"good-{name}", name)[0], 200)
+        self.assertEqual(worker.jobs.qsize(), 4)
+
+    def test_a_worker_that_turns_everything_down_is_ill(self) -> None:
+        def ill(worker: Worker, request: Server, job: str) -> None:
+            request.reply(404)
+
+        node, _ = self.platform(Worker("s-1", ill))
+        answers = [node.job(f"j{i}")[0] for i in range(6)]
+        self.assertEqual(answers[:3], [502] * 3)
+        self.assertEqual(answers[-1], 503)  # left alone: not sent, so it may be refused
+
     def test_with_no_worker_left_the_busy_reply_comes_at_the_aim_with_its_advice(self) -> None:
         worker = Worker("s-1", serve)
         node, discovery = self.platform(worker)
