Failures count by class, mildly at first, never against most workers; lost answers free their slots

Logged: 22 pesagem and 16 fechamento had begun and were never answered, each at another of the 12 workers. Each held its believed slot until the client's time (5 s, 20 s), then left its healthy worker alone for 3 s or more. Ruled out: pressure (0), reports (not used where starts are told), CPU (0.36 of 0.85 in the worst second). At fault: WorkerTable.suspend (one failure, all classes, 3 s, limit to one), count_ended, and nothing ever freeing a quiet attempt.

--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -54,8 +54,12 @@
 RETRY_MS = 40.0  # a held job that found nothing free looks again after this, doubled each time
 RETRY_MOST_MS = 160.0
 TRIES_A_STEP = 6  # held jobs that may look in vain in one step: bounds the work in an overload
-SUSPEND_MS = 3000.0  # a worker that failed a job is left alone for this long, doubled each time
+SUSPEND_ONCE_MS = 300.0  # a worker that failed a job is left alone for so long, by this class of jobs:
+SUSPEND_MS = 3000.0  # one failure may be chance; each further one in a row counts, doubled each time
 SUSPEND_MOST_MS = 24_000.0
+EXCLUDED_MOST = 0.5  # share of the workers that may be left alone: where more fail, it is no fault of theirs
+QUIET_PERIODS = 1.65  # periods without a note of progress after which an attempt's answer may be lost
+QUIET_LOOK_MS = 250.0  # between looks for such attempts
 COLD_SAFETY = 0.4  # share of the cold budget used: half for two turns in one window, the rest for hints
 COLD_JOB_MS = 400.0  # least part of the cold budget for each dispatcher that has the turn: a common job
 SLOT_SPEED = 0.5  # work a slot does in a unit of time on the slowest machine worth listing
@@ -102,9 +106,12 @@
     last_sent: float = NEVER
     probe_sent: float = NEVER
     waiters: list[Job] = field(default_factory=list)  # held jobs that wait for its probe
-    strikes: int = 0  # failures in a row
+    strikes: dict[int, int] = field(default_factory=dict)  # failures in a row, by class
+    failed_until: dict[int, float] = field(default_factory=dict)  # left alone by this class until then
+    unreached: int = 0  # probes and connections in a row that failed
     refusals: int = 0  # in a row
-    suspended_until: float = NEVER
+    suspended_until: float = NEVER  # left alone by all
+    heard_at: float = NEVER  # the worker's last sign of life
     full_until: float = NEVER
     cold_turn: int = -1
     cold_spent: float = 0.0
@@ -120,6 +127,8 @@
     sent_at: float
     open: bool = True
     started: bool = False
+    heard_at: float = NEVER  # its last note
+    quiet: bool = False  # its answer is taken to be lost: it fills no slot any more
 
 
 class Job:
@@ -127,7 +136,7 @@
 
     def __init__(self, event: api.Arrival, kind: api.JobClass, now: float, tick: float, lost: float) -> None:
         self.id = event.job
-        self.kind = kind
+        self.kind, self.job_class = kind, event.job_class
         self.key = event.key
         self.hash = mix(event.key) if event.key is not None else mix(int.from_bytes(event.job.encode()[-8:]))
         self.hint = event.hint_ms
@@ -165,6 +174,7 @@
         self.salt = mix(settings.me + 1)
         self.slots_of_kind: dict[int, float] = {}
         self.near = NEAR if settings.fee_fetch > 0 else NEAR_FREE
+        self.failing_until = NEVER  # no worker is left alone by a class beyond this
         self.run_ms = RUN_MS
         self.overhead = 0.0  # what a job takes beyond its hint, of late
         self.pace = 1.0  # send-to-outcome time over the hint, of late: machines that others use run slower
@@ -191,7 +201,9 @@
             if up and e.started_ms != w.started_ms:
                 # a new process: what was known of the old one would send work to an empty, cold worker
                 w.seen_at = w.full_until = NEVER
-                w.limit, w.strikes, w.suspended_until, w.unseen = 1.0, 0, NEVER, 0.0
+                w.limit, w.unreached, w.suspended_until, w.unseen = 1.0, 0, NEVER, 0.0
+                w.strikes.clear()
+                w.failed_until.clear()
                 gone.append(w)
             w.zone, w.cell, w.kind = e.zone, e.cell, e.kind
             w.started_ms, w.up = e.started_ms, up
@@ -305,10 +317,14 @@
         """An attempt is over: free its slots and judge the worker by it."""
         w = a.worker
         w.own -= 1
-        w.filled -= a.job.slots
+        if not a.quiet:
+            w.filled -= a.job.slots
         w.unseen = max(0.0, w.unseen - a.job.slots)
         if kind is api.OutcomeKind.SERVED:
-            w.strikes = w.refusals = 0
+            w.refusals = w.unreached = 0
+            w.heard_at = now
+            w.strikes.pop(a.job.job_class, None)
+            w.failed_until.pop(a.job.job_class, None)
             if a.job.hint:
                 slow = now - a.sent_at > self.pace * a.job.hint
                 self.pace = max(1.0, self.pace + PACE_STEP * (OVERHEAD_AT if slow else OVERHEAD_AT - 1))
@@ -325,15 +341,51 @@
             w.suspended_until = max(w.suspended_until, now + REFUSED_MS * 2.0**w.refusals)
             w.refusals = min(w.refusals + 1, REFUSED_DOUBLINGS)
             self.learn_start(True)
-        elif kind not in (api.OutcomeKind.CANCELLED, api.OutcomeKind.NOT_SENT):
+        elif kind is api.OutcomeKind.NO_CONNECTION:
             self.suspend(w, now)
+        elif kind not in (api.OutcomeKind.CANCELLED, api.OutcomeKind.NOT_SENT):
+            self.blame(a, now)
 
     def suspend(self, w: Worker, now: float) -> None:
-        """Leave a worker alone that failed: one that errs quickly is always free and would win every job."""
+        """Leave a worker alone that cannot be reached."""
         if now >= w.suspended_until:
-            w.suspended_until = now + min(SUSPEND_MS * 2.0**w.strikes, SUSPEND_MOST_MS)
-            w.strikes = min(w.strikes + 1, 10)
-        w.limit = 1.0
+            w.suspended_until = now + failing_ms(w.unreached)
+            w.limit = 1.0 if w.unreached else w.limit
+            w.unreached += 1
+
+    def blame(self, a: Attempt, now: float) -> None:
+        """Leave a worker alone that failed: one that errs quickly is always free and would win every job.
+
+        It is left by jobs of this class alone, as the others may run there as ever. What began and was never
+        answered, by a worker that has answered others since, is a lost answer and not a worker that fails.
+        """
+        w, job_class = a.worker, a.job.job_class
+        if a.started and w.heard_at > a.heard_at:
+            return
+        if now >= w.failed_until.get(job_class, NEVER):
+            strikes = w.strikes.get(job_class, 0)
+            w.limit = 1.0 if strikes else max(1.0, w.limit - LIMIT_STEP)
+            w.failed_until[job_class] = until = now + failing_ms(strikes)
+            self.failing_until = max(self.failing_until, until)
+            w.strikes[job_class] = strikes + 1
+
+    def most_fail(self, job: Job, now: float) -> bool:
+        """Whether most workers have failed this class of late: then that tells nothing of any one of them."""
+        if now >= self.failing_until:
+            return False
+        pool = self.pool(job.kind.kind, job.hash)
+        return sum(now < w.failed_until.get(job.job_class, NEVER) for w in pool) > EXCLUDED_MOST * len(pool)
+
+    def set_quiet(self, a: Attempt, quiet: bool) -> None:
+        """The attempt is taken to be over at its worker, or goes on."""
+        if a.quiet is not quiet:
+            a.quiet = quiet
+            a.worker.filled -= a.job.slots if quiet else -a.job.slots
+
+
+def failing_ms(times: int) -> float:
+    """How long a worker is left alone that has failed so many times in a row before."""
+    return min(SUSPEND_MS * 2.0 ** (times - 1), SUSPEND_MOST_MS) if times else SUSPEND_ONCE_MS
 
 
 def top(pool: list[Worker], key_hash: int, count: int) -> list[Worker]:
@@ -529,6 +581,7 @@
         self.arrivals = 0
         self.grace = [0.0] * len(settings.classes)  # the longest seen of each class
         self.wake_at = FOREVER
+        self.quiet_at = NEVER
         self.watching, self.watch_at = False, NEVER if settings.ask_for_list else FOREVER
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.Arrival: self.on_arrival,
@@ -559,6 +612,9 @@
             self.watching = True  # unasked news counts as told (rule 3): asked for again after a failure
             self.ledger.actions.append(api.WatchList())
         self.note_late_starts()
+        if self.now >= self.quiet_at and self.settings.tells_start and self.settings.progress_ms > 0:
+            self.quiet_at = self.now + QUIET_LOOK_MS
+            self.note_quiet()
         self.expire()
         self.place()
         self.set_wake()
@@ -624,6 +680,9 @@
     def on_note(self, event: api.Note) -> None:
         """A job has begun or goes on."""
         a = self.ledger.out.get((event.job, event.attempt))
+        if a is not None:
+            a.heard_at = a.worker.heard_at = self.now
+            self.table.set_quiet(a, False)
         if a is not None and not a.started:
             a.started = True
             if self.now - a.sent_at <= START_LATE_MS:
@@ -640,6 +699,26 @@
                 self.table.learn_start(True)
                 a.worker.limit = max(1.0, a.worker.limit - LIMIT_STEP)
 
+    def note_quiet(self) -> None:
+        """Free the slots of attempts that began, tell of no progress any more, and whose worker lives.
+
+        Each would count against its worker until the client's time is up. A worker that has told nothing
+        since is asked; a keyed job goes again within its group, which drops what has run already.
+        """
+        due = self.now - QUIET_PERIODS * self.settings.progress_ms
+        for a in list(self.ledger.out.values()):
+            if a.quiet or not a.started or a.heard_at > due:
+                continue
+            w = a.worker
+            if w.heard_at > a.heard_at + self.settings.progress_ms:
+                self.table.set_quiet(a, True)
+                if a.job.kind.effect is not api.Effect.UNSAFE and self.settings.may_cancel:
+                    a.job.useful_until = a.job.expires  # late is better than never: it has waited in vain
+                    self.ledger.actions.append(api.Cancel(a.job.id, a.number))
+            elif self.settings.may_probe and self.now - w.probe_sent > PROBE_LOST_MS and w.up:
+                w.probe_sent = self.now
+                self.ledger.actions.append(api.Probe(w.id))
+
     def on_stream(self, event: api.StreamStarted) -> None:
         """The answer has begun: the attempt is the client's, and no deadline runs any more."""
         a = self.ledger.out.get((event.job, event.attempt))
@@ -654,6 +733,7 @@
             return
         asked, w.probe_sent = w.probe_sent > NEVER, NEVER
         if event.ok:
+            w.heard_at, w.unreached = self.now, 0
             self.table.take_report(w, event.report, self.now)
             if not asked and w.free >= 1:
                 self.compete()  # a slot told unasked
@@ -704,10 +784,13 @@
         job.awaited = 0
         rounds = PROBE_ROUNDS if table.pressure < PRESSURE_HIGH else 1
         # a worker off the key's homes has to fetch its data: a job goes further only as its slack runs down
+        wide = table.most_fail(job, now)
         order = order[: homes + table.near + int((now - job.arrived) / (SPILL_SHARE * job.slack))]
         for w in (*matches, *order) if matches else order:
             if now < w.suspended_until or now < w.full_until or w.id in barred or kind not in (-1, w.kind):
                 continue
+            if not wide and now < w.failed_until.get(job.job_class, NEVER):
+                continue
             if self.settings.tells_start:
                 # a report is seconds old where it matters most; late starts tell of a full worker at once
                 room = FOREVER if w.filled + slots <= max(w.limit, slots) else 0.0
@@ -747,6 +830,8 @@
         at = min((j.retry_at for j in self.held.jobs.values()), default=FOREVER)
         at = min(at, self.limits[0][0] if self.limits else FOREVER)
         at = at if self.watching else min(at, self.watch_at)
+        if self.ledger.out and self.settings.tells_start and self.settings.progress_ms > 0:
+            at = min(at, self.quiet_at)
         at = max(at, self.now + self.settings.tick_ms)
         if at < self.wake_at - self.settings.tick_ms / 2:
             self.wake_at = at
