A worker that has left keeps its zone, so that jobs it may have run stay bound to it

Replayed with zones and entries logged: job 5e9092.. had attempts at 200 and 16, both z1, and went to 867 in z0 at 11.08 s, when both stood in the module as z0, up False; the entries of 11.05 s name bento (zone 1) for both. Ruled out: a break before the last byte taken for proof (both attempts ended as broken or no connection on kept words), the window, a key on two operations. At fault: PoolConfig._entry, which made an entry of a worker that is gone from its number and state alone, so that zone and cell fell back to 0; take_inventory did the same. Both now give the whole entry.

--- a/pebbledrift/pool.py
+++ b/pebbledrift/pool.py
@@ -97,8 +97,8 @@
         """Follow the inventory beside discovery's list."""
         assert self.engine is not None
         named = {e.worker for e in entries}
-        gone = [e.worker for e in self.extra_entries if e.worker not in named]
-        removed = [api.WorkerEntry(w, state=api.WorkerState.REMOVED) for w in gone]
+        gone = [e for e in self.extra_entries if e.worker not in named]
+        removed = [replace(e, state=api.WorkerState.REMOVED) for e in gone]
         self.extra, self.extra_entries = found, entries
         self.engine.pool_changed(api.WorkerList(api.ListForm.DELTA, (*removed, *entries)))
 
@@ -129,14 +129,15 @@
         state = STATES[target["state"]]
         if state is api.WorkerState.REMOVED:
             self._drop(worker)
-            return api.WorkerEntry(worker, state=state)
-        self._place(worker, address(target["endpoint"], "endpoint"))
-        self.states[worker] = state
+        else:
+            self._place(worker, address(target["endpoint"], "endpoint"))
+            self.states[worker] = state
         for key, names in (("az", self.config.zones), ("model", self.config.kinds)):
             value = target.get(key)
             if isinstance(value, str) and value not in names and value not in self.unknown:
                 self.unknown.add(value)
                 log.warning("not in the settings", extra={"key": key, "value": value})
+        # in full for one that has left too: jobs it may have run stay bound to its zone and cell
         return api.WorkerEntry(
             worker=worker,
             zone=index(self.config.zones, target.get("az", 0)),
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -75,6 +75,21 @@
         counts = [w.jobs.qsize() for w in workers]
         self.assertTrue(counts in ([1, 1, 0], [0, 0, 1]), counts)
 
+    def test_a_fechamento_stays_bound_to_the_zone_of_a_worker_that_has_left(self) -> None:
+        # the entry of one that has left was taken without its zone, and the job went on in the first one
+        worker, other = Worker("s-1", keep, zone="bento"), Worker("s-2", serve)
+        node, discovery = self.platform(worker)
+        answer = node.later("a", "fechamento", 20.0)
+        self.assertEqual(worker.jobs.get(timeout=WAIT), "a")
+        self.addCleanup(other.close)
+        other.node = node.address
+        discovery.change(other.target())
+        discovery.change(worker.target("terminated"))
+        eventually(lambda: node.job(f"b{len(other.taken)}")[0] == 200)  # the list has come
+        worker.call("a", "lost")
+        self.assertNotIn(answer.get(timeout=WAIT)[0], (200, 429, 503))
+        self.assertNotIn("a", other.taken)
+
     def test_a_job_turned_away_unstarted_goes_to_another_worker(self) -> None:
         def full(worker: Worker, request: Server, job: str) -> None:
             request.reply(503, {"X-Rejected": "1", "X-Load-Report": '{"util":1.0,"x0":0}'})
