--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -210,6 +210,9 @@
     site = table_of(settings.get("limits", {}), "settings.limits")
     if "connect_timeout_ms" in site:
         values["connect_ms"] = amount(site["connect_timeout_ms"], "settings.limits.connect_timeout_ms")
+    # advice when to come back is given only where the settings allow it, and no longer than they say
+    most = amount(site.get("max_retry_after_ms", Limits.busy_retry_ms), "settings.limits.max_retry_after_ms")
+    values["busy_retry_ms"] = min(Limits.busy_retry_ms, most) if site.get("retry_after") else 0.0
     if "idle_close_ms" in site:
         idle = amount(site["idle_close_ms"], "settings.limits.idle_close_ms")
         values["idle_ms"] = min(Limits.idle_ms, idle / 2)
--- a/pebbledrift/net/front.py
+++ b/pebbledrift/net/front.py
@@ -207,7 +207,8 @@
             return
         if self.server.reading > self.limits.reading_bytes:
             # guards memory against many bodies begun at once
-            headers = {"Retry-After": f"{self.limits.busy_retry_ms / 1000:.3f}"}
+            advice = self.limits.busy_retry_ms
+            headers = {"Retry-After": f"{advice / 1000:.3f}"} if advice > 0 else {}
             self._end_with(response(503, headers, b"", False))
         elif inside and self in self.server.idle:
             del self.server.idle[self]
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -36,6 +36,16 @@
         both = limits.front_sockets + limits.beanstalk_sockets
         self.assertLess(both + limits.destination_sockets, 190)
 
+    def test_limits_follow_memory_and_advice_follows_the_settings(self) -> None:
+        small = self.read(limits={"memory_mb": 32, "sockets": 256}).limits
+        self.assertLess(small.held_bytes + small.reading_bytes, 12 * 1024 * 1024)
+        self.assertLess(small.front_sockets + small.spare_sockets + small.destination_sockets, 240)
+        self.assertGreater(small.busy_retry_ms, 0)
+        silent = {**SETTINGS, "limits": {**SETTINGS["limits"], "retry_after": False}}
+        self.assertEqual(self.read(settings=silent).limits.busy_retry_ms, 0)
+        with self.assertRaisesRegex(ConfigError, r"limits\.memory_mb"):
+            self.read(limits={"memory_mb": 8})
+
     def test_a_replaced_file_wins_over_the_environment_for_discovery_alone(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "c.json"
