--- a/pebbledrift/net/front.py
+++ b/pebbledrift/net/front.py
@@ -148,6 +148,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.since = server._loop.time()
         self.last = False  # no further request is read
+        self.failed = 0  # status of the error that stands behind the requests that wait
         self.used = False  # a request has come
         self.paused = False
         self.reading = 0  # bytes of a request that is not complete
@@ -190,7 +191,7 @@
     def message_received(self, message: Message) -> None:
         if self.last:
             return
-        if self.current is not None:
+        if self.current is not None or self.waiting:
             self.waiting.append(message)
         else:
             self._begin(message)
@@ -216,10 +217,11 @@
 
     def malformed(self, error: HttpError) -> None:
         log.info("malformed request", extra={"status": error.status, "reason": str(error)})
-        if self.current is None:
+        if self.current is None and not self.waiting:
             self._end_with(response(error.status, {}, b"", False))
         else:
-            self.last = True  # the request being served still gets its answer, then the socket closes
+            self.failed = error.status  # what came before still gets its answers, then this one
+            self.parser.drop()
             self._pause()
 
     def answer(self, status: int, headers: dict[str, str], body: bytes = b"") -> None:
@@ -227,17 +229,16 @@
         message, self.current = self.current, None
         if message is None or self.transport is None or self.transport.is_closing():
             return
-        keep = message.keep_alive and not (self.last or self.spare or self.server.closing)
-        data = response(status, headers, body, keep)
-        if self.last:
-            self._end_with(data)
-            return
-        self.transport.write(data)
+        keep = message.keep_alive and not (self.spare or self.server.closing)
+        self.transport.write(response(status, headers, body, keep))
         if not keep:
             self.last = True
             self.transport.close()
         elif self.waiting:
-            self._begin(self.waiting.popleft())
+            # not at once: hundreds of waiting requests with an answer each at hand would nest as deep
+            self.server._loop.call_soon(self._next)
+        elif self.failed:
+            self._end_with(response(self.failed, {}, b"", False))
         else:
             if self.parser.inside:
                 self._arm(self.limits.input_ms, self._input_late)
@@ -270,6 +271,10 @@
             if self.current is message:
                 self.reject(500)
 
+    def _next(self) -> None:
+        if self.waiting and self.current is None and not self.last and self in self.server.sockets:
+            self._begin(self.waiting.popleft())
+
     def _pause(self) -> None:
         if not self.paused and self.transport is not None:
             self.paused = True
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -226,6 +226,21 @@
         worker.call("a", "done", result="through")
         self.assertEqual(first.get(timeout=WAIT)[::2], (200, b"through"))
 
+    def test_hundreds_of_requests_at_once_behind_an_open_one_are_answered(self) -> None:
+        # each was begun within the answer of the one before, until the interpreter's stack was full
+        worker = Worker("s-1", keep)
+        node, _ = self.platform(worker)
+        host, _, port = node.address.partition(":")
+        one = b"POST /pesagem HTTP/1.1\r\nX-Call-Id: a\r\nContent-Length: 0\r\n\r\n"
+        with socket.create_connection((host, int(port)), WAIT) as client:
+            client.sendall(one + b"GET /-/ready HTTP/1.1\r\n\r\n" * 1000 + b"end\r\n\r\n")
+            self.assertEqual(worker.jobs.get(timeout=WAIT), "a")
+            worker.call("a", "done", result="first")
+            answer = b"".join(iter(lambda: client.recv(4096), b""))
+        self.assertEqual(answer.count(b" 200 "), 1001)
+        self.assertEqual(answer.count(b" 400 "), 1)  # what cannot be read comes last
+        self.assertFalse([line for line in node.log if "level=error" in line])
+
     def test_pipelined_requests_are_answered_in_order(self) -> None:
         node, _ = self.platform(Worker("s-1", serve))
         host, _, port = node.address.partition(":")
