The operators' address: STATUS, METRICS, PAUSE and RESUME; an inherited front socket is served

Cause: no address for operators; readiness was a closure in __main__.serve that only SIGTERM changed; FrontServer.listen bound an address that the platform already holds.

--- a/pebbledrift/__main__.py
+++ b/pebbledrift/__main__.py
@@ -16,12 +16,15 @@
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.engine import Engine
 from pebbledrift.core.model import Answer, Destination
+from pebbledrift.core.states import NodeStates
+from pebbledrift.fronts.admin import AdminFront
 from pebbledrift.fronts.beanstalk import BeanstalkFront
 from pebbledrift.fronts.platform import PlatformFront
 from pebbledrift.inventory import Host, InventoryError
 from pebbledrift.net.beanstalk import BeanstalkSocket
 from pebbledrift.net.datagrams import PeerSocket
 from pebbledrift.net.front import FrontServer
+from pebbledrift.net.lines import LineServer
 from pebbledrift.pool import PoolConfig
 from pebbledrift.reload import Reloader
 from pebbledrift.store.service import NodeStore
@@ -45,20 +48,22 @@
         loop.add_signal_handler(number, stopping.set)
     began = clock.now_ms()
 
-    def ready() -> bool:
+    def could_serve() -> bool:
         waited = clock.now_ms() - began >= config.limits.ready_without_watch_ms
-        return pool.serves() and (pool.heard or waited) and not stopping.is_set()
+        return pool.serves() and (pool.heard or waited)
 
-    front = PlatformFront(config, engine, clock, ready)
+    states = NodeStates(could_serve)
+    front = PlatformFront(config, engine, clock, states)
     fronts = FrontServer(config.limits, front)
+    states.changed.append(lambda: fronts.empty(states.paused or states.stopping))
+    admin = LineServer(config.limits, AdminFront(config, engine, pool, states).answer)
     pool.take(config.known, cached=True)
     peers = None
     if config.peer_listen is not None and config.peers:
         transport, peers = await loop.create_datagram_endpoint(
             lambda: PeerSocket(config.limits, config.peers), local_addr=config.peer_listen
         )
-        address = "{}:{}".format(*transport.get_extra_info("sockname")[:2])
-        log.info("peers", extra={"address": address})
+        log.info("peers", extra={"address": "{}:{}".format(*transport.get_extra_info("sockname")[:2])})
     store = NodeStore(config, clock, peers)
     servers: list[asyncio.Server] = []
     tubes = None
@@ -76,30 +81,33 @@
         pool.move(new.discovery)
         logging.getLogger().setLevel(new.log_level.upper())
 
-    loop.add_signal_handler(signal.SIGHUP, Reloader(config, read_again, apply).asked)
+    loop.add_signal_handler(signal.SIGHUP, Reloader(config, read_again, apply, engine.figures).asked)
     hold_sighup(False)
     gc.collect()
     gc.freeze()
     for server in servers:
         for socket in server.sockets:
             log.info("listening", extra={"address": "{}:{}".format(*socket.getsockname()[:2])})
+    if config.admin is not None:
+        log.info("operators", extra={"address": "{}:{}".format(*await admin.listen(config.admin))})
     if config.listen is not None:
-        log.info("listening", extra={"address": "{}:{}".format(*fronts.listen(config.listen))})
+        found = fronts.listen(config.listen, config.front_fd)
+        log.info("listening", extra={"address": "{}:{}".format(*found)})
     log.info("started", extra={"node": config.name})
     await stopping.wait()
     log.info("stopping", extra={"open": len(engine.open)})
-    fronts.closing = True  # answers from here on close their connections
+    states.stop()  # answers from here on close their connections
     await asyncio.sleep(config.limits.take_ms / 1000)
     front.taking = False
     await asyncio.sleep(max(0.0, config.limits.linger_ms - config.limits.take_ms) / 1000)
     # the listening socket stays: the workers' call-backs for what is still open come in there
-    fronts.close_idle()
     if tubes is not None:
         tubes.stop()
     await engine.drained()
     if tubes is not None and tubes.plain:
         await asyncio.sleep(config.limits.linger_ms / 1000)  # for producers to fetch the last answers
     fronts.close()
+    admin.close()
     for server in servers:
         server.close()
     await pool.stop()
--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -30,6 +30,7 @@
     body_bytes: int = 64 * 1024
     line_bytes: int = 256 * 1024  # one line of discovery's watch
     datagram_bytes: int = 256
+    admin_line_bytes: int = 256  # one call of an operator
     write_buffer_bytes: int = 96 * 1024  # unread answers on one connection; more closes it
     held_bytes: int = 24 * 1024 * 1024  # bodies of open operations
     reading_bytes: int = 8 * 1024 * 1024  # requests that are not complete, on all front sockets
@@ -40,7 +41,8 @@
     backlog: int = 512
     accept_batch: int = 32
     beanstalk_sockets: int = 300  # only where that front is on; the others then have less
-    destination_sockets: int = 340  # together, open and opening
+    destination_sockets: int = 320  # together, open and opening
+    admin_sockets: int = 40  # operators' calls
     idle_per_destination: int = 24
     operations: int = 4000
     recent: int = 4096  # ids answered lately
@@ -75,6 +77,8 @@
     accept_pause_ms: float = 20.0  # a full table lets newcomers wait in the listening queue
     linger_close_ms: float = 1000.0  # after an error the other side has this long to read it and close
     front_idle_ms: float = 75_000.0
+    admin_ms: float = 10_000.0  # an operator's call has to be complete by then
+    sweep_ms: float = 250.0  # between looks for connections to close, on a node that is emptied
     watch_connect_ms: float = 1000.0
     list_ms: float = 2500.0  # a call for the whole list: calls wait for one another at discovery
     watch_silent_ms: float = 3000.0  # an empty line comes every 2 s
@@ -122,6 +126,8 @@
     kinds: tuple[str, ...]
     seed: int
     listen: Address | None = None
+    front_fd: int | None = None  # a listening socket that was inherited; it serves in the place of `listen`
+    admin: Address | None = None
     discovery: Address | None = None
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
@@ -198,7 +204,8 @@
         values["destination_sockets"] = sockets * 28 // 100
     else:
         values["front_sockets"] = sockets * 51 // 100
-        values["destination_sockets"] = sockets * 33 // 100
+        values["destination_sockets"] = sockets * 30 // 100
+    values["admin_sockets"] = max(6, sockets * 4 // 100)
     values["spare_sockets"] = max(2, sockets * 4 // 100 if "beanstalk" not in config else sockets * 2 // 100)
     # the program itself takes about 20 MB; of the rest, half may be bodies, a sixth what is being read
     memory = amount(machine.get("memory_mb", 192), "limits.memory_mb")
@@ -296,7 +303,8 @@
         settings = read_settings(raw)
     except (ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"settings: {error}") from error
-    for key, variable in (("name", "GW_NAME"), ("listen", "GW_LISTEN"), ("discovery", "GW_DISCOVERY")):
+    told = {"name": "GW_NAME", "listen": "GW_LISTEN", "discovery": "GW_DISCOVERY", "admin": "GW_ADMIN"}
+    for key, variable in told.items():
         if variable in environ and not (replaced and key == "discovery" and config.get(key)):
             config[key] = environ[variable]
 
@@ -311,6 +319,10 @@
         value = text(config, key, "")
         return str(base / value) if value else ""
 
+    fd = environ.get("GW_FD", "")
+    if fd and not (fd.isascii() and fd.isdigit() and len(fd) < 8):
+        raise ConfigError(f"GW_FD: not a descriptor: {fd!r}")
+    front_fd = int(fd) if fd else None
     peers = config.get("peers", [])
     if not isinstance(peers, list):
         raise ConfigError(f"peers: not a list: {peers!r}")
@@ -329,6 +341,8 @@
         kinds=names(raw.get("kinds", []), "settings.kinds"),
         seed=seed,
         listen=maybe("listen"),
+        front_fd=front_fd,
+        admin=maybe("admin"),
         discovery=maybe("discovery"),
         peer_listen=maybe("peer_listen"),
         peers=tuple(address(p, f"peers[{i}]") for i, p in enumerate(peers)),
--- a/pebbledrift/core/engine.py
+++ b/pebbledrift/core/engine.py
@@ -9,6 +9,7 @@
 
 from pebbledrift.config import Limits
 from pebbledrift.core.clock import Clock
+from pebbledrift.core.figures import Figures
 from pebbledrift.core.model import (
     Answer,
     Attempt,
@@ -35,6 +36,7 @@
         self.clock = clock
         self.destinations = destinations
         self.observers: list[Observer] = []
+        self.figures = Figures(len(settings.classes))
         self.open: dict[str, Operation] = {}
         self.held_bytes = 0
         self._dispatcher = Dispatcher(settings, seed)
@@ -61,7 +63,7 @@
         size = len(operation.work.body)
         if not self.room_for(size):
             # nothing of it has run: a busy reply is true whatever its class
-            self._tell(operation, Answer(Verdict.REFUSED, b"", self.limits.busy_retry_ms, "too many open"))
+            self.refuse(operation, "too many open")
             return
         now = self.clock.now_ms()
         grace = operation.expires_ms - now - self.limits.answer_margin_ms
@@ -69,6 +71,7 @@
             self._tell(operation, Answer(Verdict.REFUSED, b"", 0.0, "no time left"))
             return
         self.open[operation.id] = operation
+        self.figures.current += 1
         self.held_bytes += size
         operation.timer = self._loop.call_later(grace / 1000, self._time_is_up, operation)
         self._observe(operation, "taken")
@@ -86,6 +89,10 @@
             )
         )
 
+    def refuse(self, operation: Operation, reason: str) -> None:
+        """A front has no place for an operation: nothing of it has run, and a busy reply is true."""
+        self._tell(operation, Answer(Verdict.REFUSED, b"", self.limits.busy_retry_ms, reason))
+
     def recipient_gone(self, operation: Operation, recipient: Recipient) -> None:
         """A client has left; the operation ends with its last recipient."""
         if recipient in operation.recipients:
@@ -144,6 +151,10 @@
             worker, number = attempt.worker, attempt.number
             self._event(api.Note(attempt.operation.id, number, worker, progress, share))
 
+    def sent_whole(self, attempt: Attempt) -> None:
+        """The last byte of an attempt is written."""
+        self.figures.sent(attempt.operation.job_class)
+
     def probed(self, worker: int, ok: bool, elapsed_ms: float, report: api.Report | None) -> None:
         """A worker has told its load, or has not."""
         self._event(api.ProbeResult(worker, ok, elapsed_ms, report))
@@ -152,6 +163,10 @@
         """The pool config has changed."""
         self._event(news)
 
+    def avoided(self) -> set[int]:
+        """Workers that the module leaves alone now."""
+        return self._dispatcher.table.avoided(self.clock.now_ms())
+
     def attempt_of(self, job: str, worker: int) -> Attempt | None:
         """The latest attempt of an operation at a worker, if the operation is still known."""
         operation = self.open.get(job)
@@ -319,6 +334,7 @@
         if operation.answer is not None:
             return
         operation.answer = answer
+        self.figures.current -= 1
         if operation.timer is not None:
             operation.timer.cancel()
         self._observe(operation, answer.verdict.value)
@@ -326,6 +342,8 @@
         self._forget_if_over(operation)
 
     def _tell(self, operation: Operation, answer: Answer) -> None:
+        """Every answer of an operation passes here, and is counted here."""
+        self.figures.answered(operation.job_class, answer.verdict)
         recipients, operation.recipients = operation.recipients, []
         for recipient in recipients:
             recipient.answered(operation, answer)
--- a/pebbledrift/fronts/platform.py
+++ b/pebbledrift/fronts/platform.py
@@ -5,13 +5,13 @@
 import json
 import logging
 import re
-from collections.abc import Callable
 from urllib.parse import parse_qs
 
 from pebbledrift.config import Config
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.engine import Engine
 from pebbledrift.core.model import Answer, Operation, Verdict, Work
+from pebbledrift.core.states import NodeStates
 from pebbledrift.net.destinations import read_report
 from pebbledrift.net.front import FrontSocket
 from pebbledrift.net.http import Message
@@ -54,11 +54,11 @@
 class PlatformFront:
     """Handles what comes in at $GW_LISTEN."""
 
-    def __init__(self, config: Config, engine: Engine, clock: Clock, ready: Callable[[], bool]) -> None:
+    def __init__(self, config: Config, engine: Engine, clock: Clock, states: NodeStates) -> None:
         self.config = config
         self.engine = engine
         self.clock = clock
-        self.ready = ready
+        self.states = states
         self.taking = True  # after a SIGTERM and its second, operations get a busy reply
         self.classes = {name: i for i, name in enumerate(config.classes)}
         self.tenants = {name: i for i, name in enumerate(config.tenants)}
@@ -73,7 +73,7 @@
             elif path == "/-/ready":
                 if message.first != "GET":
                     raise Rejected(405, "GET only")
-                socket.answer(200 if self.ready() else 503, {})
+                socket.answer(200 if self.states.ready else 503, {})
             else:
                 self._take(socket, message)
         except Rejected as rejected:
@@ -88,13 +88,11 @@
     def _take(self, socket: FrontSocket, message: Message) -> None:
         operation = self._operation(message)
         recipient = SocketRecipient(self, socket)
+        operation.recipients.append(recipient)
         if not self.taking or socket.spare:
             # the reserve of sockets is for call-backs; nothing of the operation has run
-            reason = "too many sockets" if self.taking else "stopping"
-            advice = Answer(Verdict.REFUSED, b"", self.config.limits.busy_retry_ms, reason)
-            recipient.answered(operation, advice)
+            self.engine.refuse(operation, "too many sockets" if self.taking else "stopping")
             return
-        operation.recipients.append(recipient)
         self.owed[socket] = operation, recipient
         self.engine.submit(operation)
 
--- a/pebbledrift/net/destinations.py
+++ b/pebbledrift/net/destinations.py
@@ -63,6 +63,8 @@
 
     def resume_writing(self) -> None:
         self.unwritten = False
+        if self.exchange is not None:
+            self.exchange.left()
 
     def message_received(self, message: Message) -> None:
         if message.second.startswith("1"):
@@ -101,8 +103,14 @@
 class Exchange:
     """One request to a destination and its response. `done` is called exactly once, unless given up."""
 
-    def __init__(self, data: bytes, done: Callable[[Message | None, api.OutcomeKind], None]) -> None:
+    def __init__(
+        self,
+        data: bytes,
+        done: Callable[[Message | None, api.OutcomeKind], None],
+        whole: Callable[[], None] | None = None,
+    ) -> None:
         self.data = data
+        self.whole = whole  # told once the last byte has left the process
         self.done: Callable[[Message | None, api.OutcomeKind], None] | None = done
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -126,6 +134,7 @@
         else:
             self.written = True
             connection.transport.write(self.data)
+            self.left()
 
     def _complete(self) -> None:
         connection = self.connection
@@ -133,6 +142,14 @@
             return  # broken or given up meanwhile
         self.written = True
         connection.transport.write(self.data[-1:])
+        self.left()
+
+    def left(self) -> None:
+        """Some bytes have left the process: all of them?"""
+        if self.written and self.connection is not None and not self.connection.unwritten:
+            whole, self.whole = self.whole, None
+            if whole is not None:
+                whole()
 
     def finish(self, message: Message) -> None:
         """The response is there."""
@@ -355,7 +372,11 @@
         if work.repeat_key is not None:
             headers["Idempotency-Key"] = work.repeat_key
         data = request("POST", work.target, headers, work.body)
-        exchange = Exchange(data, lambda message, kind: self._answered(attempt, message, kind))
+        exchange = Exchange(
+            data,
+            lambda message, kind: self._answered(attempt, message, kind),
+            lambda: self.engine.sent_whole(attempt),
+        )
         self.exchanges[attempt] = exchange
         once = self.engine.settings.classes[attempt.operation.job_class].effect is api.Effect.UNSAFE
         patience = self.limits.accept_ms if once else self.limits.accept_again_ms
--- a/pebbledrift/net/front.py
+++ b/pebbledrift/net/front.py
@@ -41,15 +41,21 @@
         self.idle: dict[FrontSocket, None] = {}  # between requests
         self.reading = 0  # bytes of requests that are not complete
         self.closing = False
+        self._closing_since = 0.0
+        self._sweeping: asyncio.TimerHandle | None = None
         self.listener: socket.socket | None = None
         self._loop = asyncio.get_running_loop()
         self._accepted: set[asyncio.Task[object]] = set()
         self._pause: asyncio.TimerHandle | None = None
 
-    def listen(self, address: Address) -> Address:
-        """Begin to accept; returns the address with the port that was given."""
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self.listener = socket.create_server(address, family=family, backlog=self.limits.backlog)
+    def listen(self, address: Address, inherited: int | None = None) -> Address:
+        """Begin to accept, at an inherited socket if there is one; returns the address that it has."""
+        if inherited is not None:
+            # never shut down: other processes hold the same socket, and would hear no more of clients
+            self.listener = socket.socket(fileno=inherited)
+        else:
+            family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+            self.listener = socket.create_server(address, family=family, backlog=self.limits.backlog)
         self.listener.setblocking(False)
         self._loop.add_reader(self.listener, self._accept)
         found = self.listener.getsockname()
@@ -57,18 +63,38 @@
 
     def close(self) -> None:
         """Accept no more."""
-        if self._pause is not None:
-            self._pause.cancel()
+        for timer in (self._pause, self._sweeping):
+            if timer is not None:
+                timer.cancel()
         if self.listener is not None:
             self._loop.remove_reader(self.listener)
             self.listener.close()
             self.listener = None
 
-    def close_idle(self) -> None:
-        """Close the sockets on which nothing is owed; the others close with their answer."""
-        for front in list(self.idle):
-            if front.transport is not None:
+    def empty(self, closing: bool) -> None:
+        """Let connections end with their answers, and soon those on which nothing is owed; or stop it."""
+        if self.closing is not closing:
+            self.closing = closing
+            if self._sweeping is not None:
+                self._sweeping.cancel()
+                self._sweeping = None
+            if closing:
+                self._closing_since = self._loop.time()
+                self._sweeping = self._loop.call_later(self.limits.linger_ms / 1000, self._sweep)
+
+    def _sweep(self) -> None:
+        """Close what is owed nothing, again and again: workers go on calling back on new connections."""
+        now = self._loop.time()
+        linger, young = self.limits.linger_ms / 1000, self.limits.sweep_ms / 1000
+        for front in list(self.sockets):
+            if front.current is not None or front.waiting or front.ending is not None:
+                continue
+            if front.parser.inside:
+                if now - max(front.since, self._closing_since) >= 2 * linger:
+                    front.input_late()
+            elif now - front.since >= young and front.transport is not None:
                 front.transport.close()
+        self._sweeping = self._loop.call_later(self.limits.sweep_ms / 1000, self._sweep)
 
     def _accept(self) -> None:
         """Take in a few at a time: what came with them is read before the next ones are accepted."""
@@ -213,7 +239,7 @@
             self._end_with(response(503, headers, b"", False))
         elif inside and self in self.server.idle:
             del self.server.idle[self]
-            self._arm(self.limits.input_ms, self._input_late)
+            self._arm(self.limits.input_ms, self.input_late)
 
     def malformed(self, error: HttpError) -> None:
         log.info("malformed request", extra={"status": error.status, "reason": str(error)})
@@ -241,7 +267,7 @@
             self._end_with(response(self.failed, {}, b"", False))
         else:
             if self.parser.inside:
-                self._arm(self.limits.input_ms, self._input_late)
+                self._arm(self.limits.input_ms, self.input_late)
             else:
                 self.server.idle[self] = None
                 self._arm(self.limits.front_idle_ms, self._idle_late)
@@ -301,7 +327,8 @@
         elif self.transport is not None:
             self.transport.close()
 
-    def _input_late(self) -> None:
+    def input_late(self) -> None:
+        """A request that has begun has not come in time."""
         self.timer = None
         if self.current is None:
             self._end_with(response(408, {}, b"", False))
--- a/pebbledrift/pool.py
+++ b/pebbledrift/pool.py
@@ -93,6 +93,10 @@
         extra = [e.state for e in self.extra_entries]
         return any(s is api.WorkerState.UP for s in (*self.states.values(), *extra))
 
+    def listed(self) -> set[int]:
+        """The workers in the list, whatever their state."""
+        return {*self.states, *(e.worker for e in self.extra_entries)}
+
     def take_inventory(self, entries: tuple[api.WorkerEntry, ...], found: dict[int, Destination]) -> None:
         """Follow the inventory beside discovery's list."""
         assert self.engine is not None
--- a/pebbledrift/reload.py
+++ b/pebbledrift/reload.py
@@ -9,6 +9,7 @@
 
 from pebbledrift import inventory
 from pebbledrift.config import Config, ConfigError
+from pebbledrift.core.figures import Figures
 from pebbledrift.inventory import Host, InventoryError
 from pebbledrift.store.table import StoreError
 
@@ -22,11 +23,16 @@
     """Reads in a thread, one file at a time, and applies on the loop; a file at fault changes nothing."""
 
     def __init__(
-        self, config: Config, read: Callable[[], Config], apply: Callable[[Config, list[Host]], None]
+        self,
+        config: Config,
+        read: Callable[[], Config],
+        apply: Callable[[Config, list[Host]], None],
+        figures: Figures,
     ) -> None:
         self.config = config
         self.read = read
         self.apply = apply
+        self.figures = figures
         self._task: asyncio.Task[None] | None = None
         self._again = False
 
@@ -46,11 +52,14 @@
                 self.apply(config, hosts)
             except (ConfigError, InventoryError, StoreError, OSError) as error:
                 # guards a node that serves: it goes on with what it has
+                self.figures.conf_invalid += 1
                 log.error("configuration not taken", extra={"error": str(error)})
                 continue
             except Exception:
+                self.figures.conf_invalid += 1
                 log.exception("configuration not taken")
                 continue
+            self.figures.conf_loaded += 1
             log.info("configuration taken", extra={"fixed": ",".join(fixed(self.config, config)) or "-"})
             self.config = config
 
--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -21,9 +21,7 @@
 BASE_BENEFIT = 0.2  # benefit of any free worker, so that a job without a match still has a rank
 AGE_MS = 400.0  # waiting this long doubles a held job's rank: about one aim, so that none starves
 WALK = 12  # workers looked at in a key's rendezvous order: a dozen all busy means a busy fleet
-SPREAD = 1.0  # homes of a key: its share of our jobs, times the fleet, times this
-NEAR = 2  # workers beyond its homes that a job looks at from the start,
-NEAR_FREE = 2  # and where a fetch has no price of its own: the depot has little room all the same
+NEAR = 2  # workers beyond its homes that a job looks at from the start: the depot has little room
 SPILL_SHARE = 0.2  # share of its slack that a job waits for each further worker beyond its key's homes
 SHARE_PRIOR = 50.0  # jobs counted beyond those seen, so that the first few do not look like all traffic
 SHARE_JOBS = 400.0  # the share of a key is taken over about this many jobs
@@ -173,7 +171,6 @@
         self.orders: dict[tuple[int, int, int], list[Worker]] = {}
         self.salt = mix(settings.me + 1)
         self.slots_of_kind: dict[int, float] = {}
-        self.near = NEAR if settings.fee_fetch > 0 else NEAR_FREE
         self.failing_until = NEVER  # no worker is left alone by a class beyond this
         self.run_ms = RUN_MS
         self.overhead = 0.0  # what a job takes beyond its hint, of late
@@ -237,24 +234,20 @@
             if len(self.orders) >= ORDERS_KEPT:
                 self.orders.clear()
             found = top(self.pool(job.kind.kind, job.hash), job.hash, max(WALK, homes + WALK // 2))
-            if homes > 1:
-                found[:homes] = top(found[:homes], job.hash ^ self.salt, homes)
+            found[:homes] = top(found[:homes], job.hash ^ self.salt, homes)
             self.orders[key] = found
         return found
 
     def homes(self, share: float, job: Job) -> int:
         """How many workers a key with this share of the jobs needs, to the next power of two."""
-        wanted = share * (len(self.pool(job.kind.kind, job.hash)) << self.slice_bits) * SPREAD
-        homes = 1
-        while homes < wanted:
-            homes *= 2
-        return homes
+        wanted = share * (len(self.pool(job.kind.kind, job.hash)) << self.slice_bits)
+        return 1 << max(0, math.ceil(wanted) - 1).bit_length()
 
     def group_order(self, job: Job) -> list[Worker]:
         """The rendezvous order within the group that drops the job's repeats."""
         anchor, kind = job.suspects[0].worker, job.kind.kind
-        ready = [w for w in self.workers.values() if w.up and kind in (-1, w.kind)]
-        return top([w for w in ready if in_group(job, anchor, w)], job.hash, WALK)
+        ready = [w for w in self.workers.values() if w.up and in_group(job, anchor, w)]
+        return top([w for w in ready if kind in (-1, w.kind)], job.hash, WALK)
 
     def take_report(self, w: Worker, report: api.Report | None, now: float) -> None:
         """Note what a report says of the free slots."""
@@ -333,7 +326,6 @@
             self.run_ms += RUN_PART * (now - a.sent_at - self.run_ms)
             if not self.settings.tells_start:
                 w.limit += 1 / w.limit
-            if not self.settings.tells_start:
                 self.learn_start(False)  # nothing else would bring the pressure down again
         elif kind is api.OutcomeKind.REFUSED:
             # a refusal is fast and frees its count: taken as acceptance it would draw more work at once
@@ -376,6 +368,15 @@
         pool = self.pool(job.kind.kind, job.hash)
         return sum(now < w.failed_until.get(job.job_class, NEVER) for w in pool) > EXCLUDED_MOST * len(pool)
 
+    def avoided(self, now: float) -> set[int]:
+        """Workers left alone now, by all jobs or by those of a class, as choose() sees it: for people."""
+        up = [w for w in self.workers.values() if w.up]
+        found = {w.id for w in up if w.unreached and now < w.suspended_until}
+        for job_class in range(len(self.settings.classes)):
+            failing = {w.id for w in up if now < w.failed_until.get(job_class, NEVER)}
+            found |= failing if len(failing) <= EXCLUDED_MOST * len(up) else set()
+        return found
+
     def set_quiet(self, a: Attempt, quiet: bool) -> None:
         """The attempt is taken to be over at its worker, or goes on."""
         if a.quiet is not quiet:
@@ -785,7 +786,7 @@
         rounds = PROBE_ROUNDS if table.pressure < PRESSURE_HIGH else 1
         # a worker off the key's homes has to fetch its data: a job goes further only as its slack runs down
         wide = table.most_fail(job, now)
-        order = order[: homes + table.near + int((now - job.arrived) / (SPILL_SHARE * job.slack))]
+        order = order[: homes + NEAR + int((now - job.arrived) / (SPILL_SHARE * job.slack))]
         for w in (*matches, *order) if matches else order:
             if now < w.suspended_until or now < w.full_until or w.id in barred or kind not in (-1, w.kind):
                 continue
--- a/spoolpier/interface.py
+++ b/spoolpier/interface.py
@@ -121,7 +121,6 @@
     fall_multiple: float = 1.0
     fall_ms: float = 1000.0
     fee_cross_zone: float = 0.0
-    fee_fetch: float = 0.0
 
     def __post_init__(self) -> None:
         """Refuse settings that no decision could be based on, naming the one at fault."""
--- a/spoolpier/settings.py
+++ b/spoolpier/settings.py
@@ -97,5 +97,4 @@
         fall_multiple=number(rules, "fall_multiple", "rules."),
         fall_ms=number(rules, "fall_ms", "rules."),
         fee_cross_zone=float(fees.get("cross_zone", 0.0)),
-        fee_fetch=float(fees.get("origin", 0.0)),
     )
--- a/tests/node.py
+++ b/tests/node.py
@@ -188,8 +188,10 @@
 class NodeTest(unittest.TestCase):
     """Starts nodes and ends what it started."""
 
-    def start(self, folder: str | None = None, **config: Any) -> Node:
-        node = Node(folder or self.folder(), config)
+    def start(
+        self, folder: str | None = None, listener: socket.socket | None = None, **config: Any
+    ) -> Node:
+        node = Node(folder or self.folder(), config, listener)
         self.addCleanup(node.kill)
         return node
 
@@ -204,6 +206,7 @@
         self.addCleanup(discovery.close)
         found = self.start(
             listen="127.0.0.1:0",
+            admin="127.0.0.1:0",
             discovery=discovery.address,
             settings={**SETTINGS, **settings},
             node=node or {},
@@ -218,19 +221,29 @@
 class Node:
     """One process of the program; the ports are read from its log."""
 
-    def __init__(self, folder: str, config: dict[str, Any]) -> None:
+    def __init__(self, folder: str, config: dict[str, Any], listener: socket.socket | None = None) -> None:
         self.path = Path(folder) / "config.json"
         self.config = {"name": "n0", "seed": "ab", **config}
         self.path.write_text(json.dumps(self.config))
         command = [sys.executable, "-m", "pebbledrift", "--config", str(self.path)]
         environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
-        self.process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True, env=environ)
+        environ["TMPDIR"] = folder
+        inherited: tuple[int, ...] = ()
+        if listener is not None:
+            inherited = (listener.fileno(),)
+            environ["GW_FD"] = str(listener.fileno())
+        self.process = subprocess.Popen(
+            command, stderr=subprocess.PIPE, text=True, env=environ, pass_fds=inherited
+        )
         self.log: list[str] = []
         self.addresses: list[str] = []
+        self.admin = ""
         assert self.process.stderr is not None
         for line in self.process.stderr:
             self.log.append(line)
             self.addresses += re.findall(r"event=listening address=(\S+)", line)
+            if found := re.search(r"event=operators address=(\S+)", line):
+                self.admin = found[1]
             if "event=started" in line:
                 break
         else:
@@ -257,6 +270,20 @@
         threading.Thread(target=lambda: answers.put(self.job(*args, **named)), daemon=True).start()
         return answers
 
+    def call(self, call: str) -> str:
+        """One call of an operator; the answer as it came."""
+        host, _, port = self.admin.partition(":")
+        with socket.create_connection((host, int(port)), WAIT) as caller:
+            caller.sendall(call.encode() + b"\n")
+            return b"".join(iter(lambda: caller.recv(4096), b"")).decode()
+
+    def figures(self) -> dict[str, int]:
+        """What METRICS tells, without the prefix."""
+        *lines, end = self.call("METRICS").splitlines()
+        assert end == "EOT", end
+        found = [re.fullmatch(r"svc\.([\w.]+):(\d+)\|[cg]", line) for line in lines]
+        return {match[1]: int(match[2]) for match in found if match}
+
     def reload(self, **changes: Any) -> None:
         """Replace the configuration, and SIGHUP; returns once the node has said what it made of it."""
         told = sum("event=\"configuration " in line for line in self.log)
