SUSPEND and RESTORE: a ban lies over the pool config and outlives what the list says

Ruled out: relying on the list's start time alone when a worker comes back. It may have come while the worker was out, and the module compared start times only for workers that are up: its failures and limit would have stayed (brain.py, take_list).

--- a/pebbledrift/core/engine.py
+++ b/pebbledrift/core/engine.py
@@ -188,6 +188,12 @@
         self._events.append(event)
         self._wake(self.clock.now_ms())
 
+    def step_now(self) -> None:
+        """Have the module take in what has happened, without waiting for its period."""
+        if self._step_timer is not None:
+            self._step_timer.cancel()
+        self._step()
+
     def _wake(self, at_ms: float) -> None:
         """Have a step at this time, or a period after the last one if that is later.
 
--- a/pebbledrift/core/model.py
+++ b/pebbledrift/core/model.py
@@ -57,6 +57,9 @@
     def probe(self) -> None:
         """Ask for the load report."""
 
+    def recall(self) -> None:
+        """Take back attempts of which nothing has been written yet."""
+
 
 class Destinations(Protocol):
     """The destinations by the module's worker numbers."""
--- a/pebbledrift/fronts/admin.py
+++ b/pebbledrift/fronts/admin.py
@@ -27,15 +27,20 @@
             "PAUSE": lambda: self._pause(True),
             "RESUME": lambda: self._pause(False),
         }
+        self.worker_calls: dict[str, Callable[[str], str]] = {
+            "SUSPEND": lambda uid: self._ban(uid, True),
+            "RESTORE": lambda uid: self._ban(uid, False),
+        }
 
     def answer(self, line: str) -> str:
         """The answer to one call."""
-        words = line.split()
-        call = self.calls.get(words[0]) if len(words) == 1 else None
-        if call is None:
-            log.info("unknown call", extra={"call": line})
-            return "FAILURE unknown call"
-        return call()
+        match line.split():
+            case [word] if word in self.calls:
+                return self.calls[word]()
+            case [word, uid] if word in self.worker_calls:
+                return self.worker_calls[word](uid)
+        log.info("unknown call", extra={"call": line})
+        return "FAILURE unknown call"
 
     def _status(self) -> str:
         state = self.states.state
@@ -46,6 +51,12 @@
         self.states.pause(paused)
         return f"SUCCESS {self.states.state.value}"
 
+    def _ban(self, uid: str, banned: bool) -> str:
+        if not self.pool.ban(uid, banned):
+            return "FAILURE unknown worker"
+        log.warning("suspended" if banned else "restored", extra={"worker": uid})
+        return f"SUCCESS {'out' if banned else 'in'}"
+
     def _metrics(self) -> str:
         figures = self.engine.figures
         lines = []
@@ -58,7 +69,7 @@
         listed = self.pool.listed()
         lines.append(f"svc.current:{figures.current}|g")
         lines.append(f"svc.cluster_size:{len(listed)}|g")
-        lines.append(f"svc.cluster_unhealthy:{len(listed & self.engine.avoided())}|g")
+        lines.append(f"svc.cluster_unhealthy:{len(listed & (self.engine.avoided() | self.pool.banned))}|g")
         lines.append(f"svc.conf_loaded:{figures.conf_loaded}|c")
         lines.append(f"svc.conf_invalid:{figures.conf_invalid}|c")
         return "\n".join([*lines, "EOT"])
--- a/pebbledrift/fronts/beanstalk.py
+++ b/pebbledrift/fronts/beanstalk.py
@@ -104,6 +104,9 @@
     def probe(self) -> None:
         self.front.engine.probed(self.number, True, 0.0, self.report())
 
+    def recall(self) -> None:
+        """Nothing is ever under way: a job is handed out at once, or not at all."""
+
     def report(self) -> api.Report:
         """The waiting reserves as free slots."""
         return {"free_slots": float(len(self.waiting))}
@@ -366,6 +369,7 @@
             self.by_operation[operation.id] = job
         job.attempt = attempt
         self._give(job, session)
+        self.engine.sent_whole(attempt)
         self.engine.noted(attempt, api.Progress.STARTED, 0.0)
 
     def taken_back(self, attempt: Attempt) -> None:
@@ -393,6 +397,7 @@
         """Put and still in its delay: its answer is owed all the same."""
         if job.mapping is not None:
             self.noted(self._operation_id(job), Verdict.REFUSED.value, job.mapping)
+            self.engine.figures.answered(job.mapping.job_class, Verdict.REFUSED)
             self.post_answer(job.id, job.mapping, Answer(Verdict.REFUSED, reason=reason))
 
     def _give_back(self, job: Job, kind: api.OutcomeKind) -> None:
--- a/pebbledrift/net/destinations.py
+++ b/pebbledrift/net/destinations.py
@@ -406,6 +406,12 @@
         exchange = Exchange(request("GET", "/-/load", {"Host": self.host}), done)
         self.pool.start(exchange, self.limits.probe_ms, late)
 
+    def recall(self) -> None:
+        """Guards a worker that is taken out: sends that wait for a connection must not arrive later."""
+        for exchange in list(self.exchanges.values()):
+            if exchange.connection is None:
+                exchange.unreached(api.OutcomeKind.NOT_SENT)
+
     def close(self) -> None:
         """The worker has left this address."""
         self.pool.close()
--- a/pebbledrift/pool.py
+++ b/pebbledrift/pool.py
@@ -50,7 +50,10 @@
         self.destinations: dict[int, HttpDestination] = {}
         self.extra: dict[int, Destination] = {}  # of another front, from the inventory
         self.extra_entries: tuple[api.WorkerEntry, ...] = ()
-        self.states: dict[int, api.WorkerState] = {}
+        self.entries: dict[int, api.WorkerEntry] = {}  # the list, as told
+        self.known: set[int] = set()  # all that have ever been in it
+        self.bans: set[str] = set()  # uids that operators have taken out, whatever the list says
+        self.banned: set[int] = set()  # the same by number
         self.budget = SocketBudget(config.limits)
         self.rev: int | None = 0  # None: the whole list has to be asked for
         self.discovery = config.discovery
@@ -90,12 +93,41 @@
 
     def serves(self) -> bool:
         """Whether any worker is in service."""
-        extra = [e.state for e in self.extra_entries]
-        return any(s is api.WorkerState.UP for s in (*self.states.values(), *extra))
+        entries = (*self.entries.values(), *self.extra_entries)
+        return any(self._shown(e).state is api.WorkerState.UP for e in entries)
 
     def listed(self) -> set[int]:
         """The workers in the list, whatever their state."""
-        return {*self.states, *(e.worker for e in self.extra_entries)}
+        return {*self.entries, *(e.worker for e in self.extra_entries)}
+
+    def ban(self, uid: str, banned: bool) -> bool:
+        """Take a worker out, or put it back; False if nobody has heard of it. Twice is once."""
+        worker = worker_number(uid)
+        if worker not in self.known and worker not in self.listed() and uid not in self.bans:
+            return False
+        self.lay_ban(uid, banned)
+        return True
+
+    def lay_ban(self, uid: str, banned: bool) -> None:
+        """The same for a worker of which only the uid may be known."""
+        assert self.engine is not None
+        if banned is (uid in self.bans):
+            return
+        worker = worker_number(uid)
+        self.bans ^= {uid}
+        self.banned ^= {worker}
+        entries = [e for e in (*self.entries.values(), *self.extra_entries) if e.worker == worker]
+        self.engine.pool_changed(api.WorkerList(api.ListForm.DELTA, tuple(map(self._shown, entries))))
+        self.engine.step_now()
+        destination = self.find(worker)
+        if banned and destination is not None:
+            destination.recall()
+
+    def _shown(self, entry: api.WorkerEntry) -> api.WorkerEntry:
+        """An entry as the module is shown it: one that is banned drains, whatever the list says."""
+        if entry.worker in self.banned and entry.state is api.WorkerState.UP:
+            return replace(entry, state=api.WorkerState.DRAINING)
+        return entry
 
     def take_inventory(self, entries: tuple[api.WorkerEntry, ...], found: dict[int, Destination]) -> None:
         """Follow the inventory beside discovery's list."""
@@ -104,7 +136,8 @@
         gone = [e for e in self.extra_entries if e.worker not in named]
         removed = [replace(e, state=api.WorkerState.REMOVED) for e in gone]
         self.extra, self.extra_entries = found, entries
-        self.engine.pool_changed(api.WorkerList(api.ListForm.DELTA, (*removed, *entries)))
+        shown = (*removed, *map(self._shown, entries))
+        self.engine.pool_changed(api.WorkerList(api.ListForm.DELTA, shown))
 
     def take(self, news: Mapping[str, Any], cached: bool = False) -> None:
         """Take in a list or its changes; an entry that cannot be read is passed over, and said so."""
@@ -126,7 +159,7 @@
         rev = news.get("rev")
         if isinstance(rev, int) and not isinstance(rev, bool):
             self.rev = rev
-        self.engine.pool_changed(api.WorkerList(form, tuple(entries)))
+        self.engine.pool_changed(api.WorkerList(form, tuple(map(self._shown, entries))))
 
     def _entry(self, target: Mapping[str, Any]) -> api.WorkerEntry:
         worker = worker_number(str(target["uid"]))
@@ -135,14 +168,13 @@
             self._drop(worker)
         else:
             self._place(worker, address(target["endpoint"], "endpoint"))
-            self.states[worker] = state
         for key, names in (("az", self.config.zones), ("model", self.config.kinds)):
             value = target.get(key)
             if isinstance(value, str) and value not in names and value not in self.unknown:
                 self.unknown.add(value)
                 log.warning("not in the settings", extra={"key": key, "value": value})
         # in full for one that has left too: jobs it may have run stay bound to its zone and cell
-        return api.WorkerEntry(
+        entry = api.WorkerEntry(
             worker=worker,
             zone=index(self.config.zones, target.get("az", 0)),
             cell=index((), target.get("pod_group", 0)),
@@ -151,6 +183,10 @@
             started_ms=float(target.get("boot_ms", 0)),
             state=state,
         )
+        if state is not api.WorkerState.REMOVED:
+            self.entries[worker] = entry
+            self.known.add(worker)
+        return entry
 
     def _place(self, worker: int, where: Address) -> None:
         known = self.destinations.get(worker)
@@ -165,7 +201,7 @@
 
     def _drop(self, worker: int) -> None:
         """The worker has left; attempts still out there end by call-back, by a break or in time."""
-        self.states.pop(worker, None)
+        self.entries.pop(worker, None)
         known = self.destinations.get(worker)
         if known is not None:
             known.close()
--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -195,8 +195,8 @@
             up = e.state is api.WorkerState.UP
             if w.up and not up:
                 gone.append(w)
-            if up and e.started_ms != w.started_ms:
-                # a new process: what was known of the old one would send work to an empty, cold worker
+            if up and (not w.up or e.started_ms != w.started_ms):
+                # a new process, or one that was away: what was known would flood or starve a cold worker
                 w.seen_at = w.full_until = NEVER
                 w.limit, w.unreached, w.suspended_until, w.unseen = 1.0, 0, NEVER, 0.0
                 w.strikes.clear()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -74,6 +74,49 @@
             self.assertTrue(caller.recv(4096).startswith(b"FAILURE"))
 
 
+class SuspendTest(NodeTest):
+    def test_a_worker_taken_out_gets_nothing_until_the_call_back_whatever_the_list_says(self) -> None:
+        out, other = Worker("s-1", serve), Worker("s-2", serve)
+        node, discovery = self.platform(out, other)
+        ids = (f"j{i}" for i in itertools.count())
+        eventually(lambda: node.job(next(ids), sid=f"{len(other.taken):x}")[0] == 200 and bool(out.taken))
+        self.assertTrue(node.call("SUSPEND s-9").startswith("FAILURE"))
+        self.assertTrue(node.call("RESTORE s-9").startswith("FAILURE"))
+        for _ in range(2):
+            self.assertTrue(node.call("SUSPEND s-1").startswith("SUCCESS"))
+        taken = len(out.taken)
+        rev = discovery.rev
+        # told as restarted, gone, and there again: it stays out
+        for target in ({"boot_ms": 5}, {"state": "terminated"}, {"boot_ms": 6}):
+            discovery.rev = rev = rev + 1
+            discovery.change({**out.target(), **target})
+            size = 1 if "state" in target else 2
+            eventually(lambda size=size: node.figures()["cluster_size"] == size)  # type: ignore[misc]
+            self.assertEqual(node.figures()["cluster_unhealthy"], size - 1)
+            self.assertEqual([node.job(next(ids), sid=f"{i:x}")[0] for i in range(12)], [200] * 12)
+        discovery.watches[-1].put(None)  # a whole list, on a new watch
+        self.assertIn("since", discovery.asked.get(timeout=WAIT))
+        node.reload(name="n0")
+        self.assertEqual([node.job(next(ids), sid=f"{i:x}")[0] for i in range(12)], [200] * 12)
+        self.assertEqual(len(out.taken), taken)
+        self.assertTrue(node.call("RESTORE s-1").startswith("SUCCESS"))  # undoes both
+        eventually(lambda: node.job(next(ids), sid="1")[0] == 200 and len(out.taken) > taken)
+        self.assertEqual(node.figures()["cluster_unhealthy"], 0)
+
+    def test_a_job_that_waits_for_a_worker_does_not_go_to_one_that_is_taken_out(self) -> None:
+        out = Worker("s-1", keep)
+        node, _ = self.platform(out)
+        first = node.later("a")
+        self.assertEqual(out.jobs.get(timeout=WAIT), "a")
+        held = node.later("b", budget=60.0)  # no slot is free
+        eventually(lambda: node.figures()["current"] == 2)
+        self.assertTrue(node.call("SUSPEND s-1").startswith("SUCCESS"))
+        out.call("a", "done", result="before")
+        self.assertEqual(first.get(timeout=WAIT)[0], 200)
+        self.assertEqual(held.get(timeout=WAIT)[0], 503)
+        self.assertTrue(out.jobs.empty())
+
+
 class PauseTest(NodeTest):
     def test_a_pause_empties_the_node_and_a_resume_takes_clients_again(self) -> None:
         worker, other = Worker("s-1", keep), Worker("s-2", keep)
