Upgrades: a second process takes the first one's place, its connections and its jobs

The inherited socket alone let two processes accept side by side, each ignorant of the other's jobs and bans.

--- a/pebbledrift/__main__.py
+++ b/pebbledrift/__main__.py
@@ -29,6 +29,7 @@
 from pebbledrift.reload import Reloader
 from pebbledrift.store.service import NodeStore
 from pebbledrift.store.table import StoreError
+from pebbledrift.upgrade import Upgrade
 
 log = logging.getLogger("pebbledrift")
 
@@ -55,25 +56,55 @@
     states = NodeStates(could_serve)
     front = PlatformFront(config, engine, clock, states)
     fronts = FrontServer(config.limits, front)
-    states.changed.append(lambda: fronts.empty(states.paused or states.stopping))
-    admin = LineServer(config.limits, AdminFront(config, engine, pool, states).answer)
+    upgrade = Upgrade(config, engine, pool, states, front, fronts)
+    # what goes over to a newer process is not closed here
+    states.changed.append(
+        lambda: fronts.empty(states.paused or (states.stopping and not states.succeeded))
+    )
+    admin = LineServer(config.limits, AdminFront(config, engine, pool, states, upgrade.tell).answer)
     pool.take(config.known, cached=True)
     peers = None
     if config.peer_listen is not None and config.peers:
         transport, peers = await loop.create_datagram_endpoint(
-            lambda: PeerSocket(config.limits, config.peers), local_addr=config.peer_listen
+            lambda: PeerSocket(config.limits, config.peers),
+            local_addr=config.peer_listen,
+            reuse_port=config.front_fd is not None,  # in an upgrade both processes have it
         )
         log.info("peers", extra={"address": "{}:{}".format(*transport.get_extra_info("sockname")[:2])})
     store = NodeStore(config, clock, peers)
     servers: list[asyncio.Server] = []
-    tubes = None
-    if config.beanstalk is not None:
-        tubes = start_beanstalk(config, engine, clock, pool, store)
-        servers.append(
-            await loop.create_server(
-                lambda: BeanstalkSocket(config.limits, tubes), *config.beanstalk.listen, backlog=128
-            )
+    tubes: BeanstalkFront | None = None
+    if config.front_fd is not None:
+        await upgrade.meet()
+
+    async def serve_operators() -> None:
+        assert config.admin is not None
+        where = config.admin
+        address = await upgrade.once_free(lambda: admin.listen(where))
+        log.info("operators", extra={"address": "{}:{}".format(*address)})
+
+    async def serve_tubes() -> None:
+        nonlocal tubes
+        assert config.beanstalk is not None
+        if upgrade.elder is not None:
+            # guards the store's file and the tubes' ids: they have one owner
+            log.warning("tubes wait for the older process to end")
+            await upgrade.alone.wait()
+        tubes = front = start_beanstalk(config, engine, clock, pool, store)
+        server = await loop.create_server(
+            lambda: BeanstalkSocket(config.limits, front), *config.beanstalk.listen, backlog=128
         )
+        servers.append(server)
+        for socket in server.sockets:
+            log.info("listening", extra={"address": "{}:{}".format(*socket.getsockname()[:2])})
+
+    starting = [
+        loop.create_task(start())
+        for start, wanted in ((serve_operators, config.admin), (serve_tubes, config.beanstalk))
+        if wanted is not None
+    ]
+    if upgrade.elder is None:
+        await asyncio.gather(*starting)
 
     def apply(new: Config, hosts: list[Host]) -> None:
         if tubes is not None:
@@ -85,21 +116,26 @@
     hold_sighup(False)
     gc.collect()
     gc.freeze()
-    for server in servers:
-        for socket in server.sockets:
-            log.info("listening", extra={"address": "{}:{}".format(*socket.getsockname()[:2])})
-    if config.admin is not None:
-        log.info("operators", extra={"address": "{}:{}".format(*await admin.listen(config.admin))})
-    if config.listen is not None:
-        found = fronts.listen(config.listen, config.front_fd)
-        log.info("listening", extra={"address": "{}:{}".format(*found)})
-    log.info("started", extra={"node": config.name})
-    await stopping.wait()
+    stop = loop.create_task(stopping.wait())
+    may_serve = loop.create_task(upgrade.may_serve())
+    await asyncio.wait([stop, may_serve], return_when=asyncio.FIRST_COMPLETED)
+    if may_serve.done():
+        if config.listen is not None:
+            found = fronts.listen(config.listen, config.front_fd)
+            log.info("listening", extra={"address": "{}:{}".format(*found)})
+        states.serving = True
+        if config.front_fd is not None:
+            upgrade.serve()
+        log.info("started", extra={"node": config.name})
+    await stop
     log.info("stopping", extra={"open": len(engine.open)})
-    states.stop()  # answers from here on close their connections
-    await asyncio.sleep(config.limits.take_ms / 1000)
-    front.taking = False
-    await asyncio.sleep(max(0.0, config.limits.linger_ms - config.limits.take_ms) / 1000)
+    states.stop()  # answers from here on close their connections, unless these go over to a newer process
+    if states.succeeded:
+        await upgrade.leave()
+    if not states.succeeded:
+        await asyncio.sleep(config.limits.take_ms / 1000)
+        front.taking = False
+        await asyncio.sleep(max(0.0, config.limits.linger_ms - config.limits.take_ms) / 1000)
     # the listening socket stays: the workers' call-backs for what is still open come in there
     if tubes is not None:
         tubes.stop()
@@ -108,6 +144,9 @@
         await asyncio.sleep(config.limits.linger_ms / 1000)  # for producers to fetch the last answers
     fronts.close()
     admin.close()
+    upgrade.close()
+    for task in (may_serve, *starting):
+        task.cancel()
     for server in servers:
         server.close()
     await pool.stop()
--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import tempfile
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field, fields
@@ -78,6 +79,8 @@
     linger_close_ms: float = 1000.0  # after an error the other side has this long to read it and close
     front_idle_ms: float = 75_000.0
     admin_ms: float = 10_000.0  # an operator's call has to be complete by then
+    meet_ms: float = 1500.0  # an older process that has told nothing by then is not waited for
+    hand_over_ms: float = 1800.0  # after SIGTERM the jobs that are still out go over to the newer process
     sweep_ms: float = 250.0  # between looks for connections to close, on a node that is emptied
     watch_connect_ms: float = 1000.0
     list_ms: float = 2500.0  # a call for the whole list: calls wait for one another at discovery
@@ -128,6 +131,7 @@
     listen: Address | None = None
     front_fd: int | None = None  # a listening socket that was inherited; it serves in the place of `listen`
     admin: Address | None = None
+    run_dir: str = ""  # where two processes of an upgrade meet
     discovery: Address | None = None
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
@@ -191,8 +195,11 @@
     return tuple(str(name) for name in found)
 
 
-def read_limits(config: Mapping[str, Any], settings: Mapping[str, Any]) -> Limits:
-    """The limits: the deployment's, scaled to the sockets at hand, then the operator's [node] table."""
+def read_limits(config: Mapping[str, Any], settings: Mapping[str, Any], shared: bool) -> Limits:
+    """The limits: the deployment's, scaled to the sockets at hand, then the operator's [node] table.
+
+    Where a second process may share the machine (`shared`), each of the two takes half the memory.
+    """
     values: dict[str, Any] = {}
     machine = table_of(config.get("limits", {}), "limits")
     sockets = int(amount(machine.get("sockets", 1024), "limits.sockets"))
@@ -211,7 +218,7 @@
     memory = amount(machine.get("memory_mb", 192), "limits.memory_mb")
     if memory < 24:
         raise ConfigError(f"limits.memory_mb: at least 24 are needed, not {memory:g}")
-    rest = int((memory - 20) * 1024 * 1024)
+    rest = int(max(4, (memory - 40) / 2 if shared else memory - 20) * 1024 * 1024)
     values["held_bytes"] = min(Limits.held_bytes, rest // 2)
     values["reading_bytes"] = min(Limits.reading_bytes, rest // 6)
     site = table_of(settings.get("limits", {}), "settings.limits")
@@ -334,7 +341,7 @@
     return Config(
         name=text(config, "name", "node"),
         settings=settings,
-        limits=read_limits(config, raw),
+        limits=read_limits(config, raw, front_fd is not None),
         classes=classes,
         tenants=tenants,
         zones=names(raw.get("zones", []), "settings.zones"),
@@ -343,6 +350,7 @@
         listen=maybe("listen"),
         front_fd=front_fd,
         admin=maybe("admin"),
+        run_dir=environ.get("TMPDIR") or tempfile.gettempdir(),
         discovery=maybe("discovery"),
         peer_listen=maybe("peer_listen"),
         peers=tuple(address(p, f"peers[{i}]") for i, p in enumerate(peers)),
--- a/pebbledrift/core/engine.py
+++ b/pebbledrift/core/engine.py
@@ -11,6 +11,7 @@
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.figures import Figures
 from pebbledrift.core.model import (
+    PROVEN_NOT_RUN,
     Answer,
     Attempt,
     Destinations,
@@ -25,6 +26,26 @@
 log = logging.getLogger(__name__)
 
 
+class Nowhere:
+    """The destination of what a worker has that has left the list."""
+
+    def send(self, attempt: Attempt) -> None:
+        """Nothing is ever sent here."""
+
+    def cancel(self, attempt: Attempt) -> None:
+        """It cannot be reached any more."""
+
+    def probe(self) -> None:
+        """It cannot be reached any more."""
+
+    def taken(self, attempt: Attempt) -> bool:
+        """It has been taken before."""
+        return True
+
+    def recall(self) -> None:
+        """Nothing is under way."""
+
+
 class Engine:
     """Turns what fronts and destinations report into events, and the module's actions into calls."""
 
@@ -38,6 +59,7 @@
         self.observers: list[Observer] = []
         self.figures = Figures(len(settings.classes))
         self.open: dict[str, Operation] = {}
+        self.elsewhere: set[str] = set()  # ids that are open at the process before this one
         self.held_bytes = 0
         self._dispatcher = Dispatcher(settings, seed)
         self._recent: OrderedDict[str, None] = OrderedDict()
@@ -52,7 +74,7 @@
 
     def knows(self, job: str) -> bool:
         """Whether an id is open or was answered lately."""
-        return job in self.open or job in self._recent
+        return job in self.open or job in self._recent or job in self.elsewhere
 
     def submit(self, operation: Operation) -> None:
         """Take an operation in, once for each id."""
@@ -100,6 +122,52 @@
         if operation.answer is None and not operation.recipients:
             self._finish(operation, Answer(Verdict.FAILED, reason="client gone"))
             self._event(api.ClientGone(operation.id))
+            if operation.adopted:  # the module cannot take back what it does not know
+                self._cancel_all(operation)
+
+    def release(self, operation: Operation) -> tuple[Attempt, bool] | None:
+        """Give up an operation that a worker has taken, for the process that comes after to wait for its end.
+
+        Returns its attempt, and whether an earlier one may have run; None, and nothing is changed, where it
+        is not so far: only what waits for a call-back alone can go on elsewhere.
+        """
+        out = [a for a in operation.attempts if a.open]
+        if operation.answer is not None or len(out) != 1 or not out[0].destination.taken(out[0]):
+            return None
+        attempt = out[0]
+        for timer in (operation.timer, attempt.timer):
+            if timer is not None:
+                timer.cancel()
+        del self.open[operation.id]
+        self.figures.current -= 1
+        self.held_bytes -= len(operation.work.body)
+        attempt.outcome = api.OutcomeKind.CANCELLED
+        elapsed = self.clock.now_ms() - attempt.sent_ms
+        worker, number = attempt.worker, attempt.number
+        self._event(api.Outcome(operation.id, number, worker, attempt.outcome, elapsed, True))
+        self._wake_idle()
+        return attempt, any(a.outcome not in PROVEN_NOT_RUN for a in operation.attempts if a is not attempt)
+
+    def adopt(self, operation: Operation, worker: int, started: bool, earlier: bool) -> None:
+        """Wait for the end of an operation that the process before this one has sent: it is never resent."""
+        operation.adopted = True
+        operation.attempts.clear()
+        self.elsewhere.discard(operation.id)
+        self.open[operation.id] = operation
+        self.figures.current += 1
+        self.held_bytes += len(operation.work.body)
+        now = self.clock.now_ms()
+        expires = operation.expires_ms - self.limits.answer_margin_ms
+        delay = max(0.0, expires - now) / 1000
+        destination = self.destinations.find(worker) or Nowhere()
+        if earlier:
+            lost = Attempt(operation, 0, worker, destination, now, expires, api.OutcomeKind.UNKNOWN)
+            operation.attempts.append(lost)
+        number = len(operation.attempts)
+        attempt = Attempt(operation, number, worker, destination, now, expires, started=started)
+        operation.attempts.append(attempt)
+        operation.timer = self._loop.call_later(delay, self._time_is_up, operation)
+        attempt.timer = self._loop.call_later(delay, self._attempt_timed_out, attempt)
 
     def room_for(self, size: int) -> bool:
         """Whether another operation with a body of this size would be taken in."""
@@ -320,6 +388,8 @@
             attempt.timer.cancel()
         operation = attempt.operation
         elapsed = self.clock.now_ms() - attempt.sent_ms
+        if operation.adopted and operation.answer is None:
+            self._finish(operation, self._given_up(operation))
         done = operation.answer is not None
         worker, number = attempt.worker, attempt.number
         self._event(api.Outcome(operation.id, number, worker, kind, elapsed, done, report))
@@ -361,9 +431,18 @@
             return
         self.held_bytes -= len(operation.work.body)
         self._remember(operation.id)
+        self._wake_idle()
+
+    def _wake_idle(self) -> None:
         if not self.open and self._idle is not None and not self._idle.done():
             self._idle.set_result(None)
 
+    def _cancel_all(self, operation: Operation) -> None:
+        for attempt in operation.attempts:
+            if attempt.open:
+                attempt.destination.cancel(attempt)
+                self._close_attempt(attempt, api.OutcomeKind.CANCELLED, None)
+
     def _remember(self, job: str) -> None:
         """Guards against a second run, and a shared answer, where an id comes again."""
         self._recent[job] = None
--- a/pebbledrift/core/model.py
+++ b/pebbledrift/core/model.py
@@ -57,6 +57,9 @@
     def probe(self) -> None:
         """Ask for the load report."""
 
+    def taken(self, attempt: Attempt) -> bool:
+        """Whether the worker has the attempt, and only its call-back is awaited."""
+
     def recall(self) -> None:
         """Take back attempts of which nothing has been written yet."""
 
@@ -89,6 +92,7 @@
     origin: str = ""  # where it came in, in its front's words
     attempts: list[Attempt] = field(default_factory=list)
     answer: Answer | None = None
+    adopted: bool = False  # it was sent by the process before this one; the module does not know it
     timer: asyncio.TimerHandle | None = None
 
     @property
--- a/pebbledrift/core/states.py
+++ b/pebbledrift/core/states.py
@@ -9,7 +9,7 @@
 class State(Enum):
     """What the node is doing."""
 
-    STARTING = "starting"  # discovery has not told the list yet
+    STARTING = "starting"  # the front is not served, or discovery has not told the list yet
     READY = "ready"
     PAUSED = "paused"  # emptied by an operator: serves what still comes, and is out of the front's list
     STOPPING = "stopping"  # told to end
@@ -21,6 +21,7 @@
 
     def __init__(self, could_serve: Callable[[], bool]) -> None:
         self.could_serve = could_serve
+        self.serving = False  # clients are accepted
         self.paused = False
         self.stopping = False
         self.succeeded = False
@@ -35,7 +36,7 @@
             return State.STOPPING
         if self.paused:
             return State.PAUSED
-        return State.READY if self.could_serve() else State.STARTING
+        return State.READY if self.serving and self.could_serve() else State.STARTING
 
     @property
     def ready(self) -> bool:
--- a/pebbledrift/fronts/admin.py
+++ b/pebbledrift/fronts/admin.py
@@ -8,6 +8,7 @@
 from pebbledrift.config import Config
 from pebbledrift.core.engine import Engine
 from pebbledrift.core.states import NodeStates, State
+from pebbledrift.net.link import Fields
 from pebbledrift.pool import PoolConfig
 
 log = logging.getLogger(__name__)
@@ -16,11 +17,19 @@
 class AdminFront:
     """Carries out the operators' calls."""
 
-    def __init__(self, config: Config, engine: Engine, pool: PoolConfig, states: NodeStates) -> None:
+    def __init__(
+        self,
+        config: Config,
+        engine: Engine,
+        pool: PoolConfig,
+        states: NodeStates,
+        tell: Callable[[Fields], None],
+    ) -> None:
         self.config = config
         self.engine = engine
         self.pool = pool
         self.states = states
+        self.tell = tell  # the other process, while there are two
         self.calls: dict[str, Callable[[], str]] = {
             "STATUS": self._status,
             "METRICS": self._metrics,
@@ -49,11 +58,13 @@
     def _pause(self, paused: bool) -> str:
         log.warning("paused" if paused else "resumed")
         self.states.pause(paused)
+        self.tell({"kind": "pause", "paused": paused})
         return f"SUCCESS {self.states.state.value}"
 
     def _ban(self, uid: str, banned: bool) -> str:
         if not self.pool.ban(uid, banned):
             return "FAILURE unknown worker"
+        self.tell({"kind": "ban", "uid": uid, "banned": banned})
         log.warning("suspended" if banned else "restored", extra={"worker": uid})
         return f"SUCCESS {'out' if banned else 'in'}"
 
--- a/pebbledrift/fronts/beanstalk.py
+++ b/pebbledrift/fronts/beanstalk.py
@@ -104,6 +104,9 @@
     def probe(self) -> None:
         self.front.engine.probed(self.number, True, 0.0, self.report())
 
+    def taken(self, attempt: Attempt) -> bool:
+        return False  # it ends with the connection, which this process holds
+
     def recall(self) -> None:
         """Nothing is ever under way: a job is handed out at once, or not at all."""
 
--- a/pebbledrift/fronts/platform.py
+++ b/pebbledrift/fronts/platform.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import re
+from collections.abc import Callable
 from urllib.parse import parse_qs
 
 from pebbledrift.config import Config
@@ -14,7 +15,8 @@
 from pebbledrift.core.states import NodeStates
 from pebbledrift.net.destinations import read_report
 from pebbledrift.net.front import FrontSocket
-from pebbledrift.net.http import Message
+from pebbledrift.net.http import Message, wire
+from pebbledrift.net.link import Fields
 from pebbledrift.pool import worker_number
 from spoolpier import interface as api
 
@@ -62,13 +64,16 @@
         self.taking = True  # after a SIGTERM and its second, operations get a busy reply
         self.classes = {name: i for i, name in enumerate(config.classes)}
         self.tenants = {name: i for i, name in enumerate(config.tenants)}
+        self.elsewhere: Callable[[Fields, bytes], None] = lambda fields, body: None
         self.owed: dict[FrontSocket, tuple[Operation, SocketRecipient]] = {}
 
     def handle(self, socket: FrontSocket, message: Message) -> None:
         path = message.second.partition("?")[0]
         try:
             if path == "/v1/job-events":
-                self._called_back(message)
+                if message.first != "POST":
+                    raise Rejected(405, "POST only")
+                self.called_back(bytes(message.body), 0)
                 socket.answer(204, {})
             elif path == "/-/ready":
                 if message.first != "GET":
@@ -96,7 +101,7 @@
         self.owed[socket] = operation, recipient
         self.engine.submit(operation)
 
-    def _operation(self, message: Message) -> Operation:
+    def _operation(self, message: Message, adopted: bool = False) -> Operation:
         headers = message.headers
         path, _, query = message.second.partition("?")
         root, _, rest = path.partition("/")
@@ -108,7 +113,7 @@
         job = headers.get("x-call-id", "")
         if not ID.match(job):
             raise Rejected(400, "X-Call-Id: missing or malformed")
-        if self.engine.knows(job):
+        if self.engine.knows(job) and not adopted:
             # guards the owner of an id: a foreign request under it is not run and gets none of its answer
             raise Rejected(409, "X-Call-Id: in use")
         job_class = self.classes[name]
@@ -143,12 +148,50 @@
             repeat=headers.get("x-again") == "1",
         )
 
-    def _called_back(self, message: Message) -> None:
-        """A worker's call-back: taken in early, twice or late, and answered alike."""
-        if message.first != "POST":
-            raise Rejected(405, "POST only")
+    def adopt(self, socket: FrontSocket, message: Message, job: Fields) -> None:
+        try:
+            operation = self._operation(message, adopted=True)
+        except Rejected as rejected:
+            log.error("not adopted", extra={"reason": str(rejected)})
+            socket.reject(502)
+            return
+        operation.expires_ms = self.clock.now_ms() + float(job["left_ms"])
+        recipient = SocketRecipient(self, socket)
+        operation.recipients.append(recipient)
+        self.owed[socket] = operation, recipient
+        self.engine.adopt(operation, int(job["worker"]), bool(job["started"]), bool(job["earlier"]))
+
+    def hand_over(self) -> None:
+        """Give the jobs that workers have taken to the process that comes after, with their connections."""
+        for socket, (operation, _) in list(self.owed.items()):
+            message = socket.current
+            if message is None or socket.waiting:
+                continue
+            found = self.engine.release(operation)
+            if found is None:
+                continue
+            attempt, earlier = found
+            job = {
+                "worker": attempt.worker,
+                "started": attempt.started,
+                "earlier": earlier,
+                "left_ms": operation.expires_ms - self.clock.now_ms(),
+            }
+            fields = {"kind": "job", "used": True, "age": 0.0, "job": job}
+            if socket.give(fields, wire(message)):
+                del self.owed[socket]
+            else:
+                # it stays here: as far as the module knows it is over, and so it only waits for its end
+                self.engine.adopt(operation, attempt.worker, attempt.started, earlier)
+
+    def called_back(self, body: bytes, passed: int) -> None:
+        """A worker's call-back: taken in early, twice or late, and answered alike.
+
+        One of a job that is not known here is passed to the other process of an upgrade; it comes back once
+        at most, where the job has gone the other way meanwhile.
+        """
         try:
-            news = json.loads(bytes(message.body))
+            news = json.loads(body)
             job, uid, state = news["id"], news["from"], news["state"]
         except (ValueError, KeyError, TypeError, RecursionError) as error:
             raise Rejected(400, "malformed call-back") from error
@@ -156,6 +199,8 @@
             raise Rejected(400, "malformed call-back")
         attempt = self.engine.attempt_of(job, worker_number(uid))
         if attempt is None:
+            if passed < 2:
+                self.elsewhere({"kind": "back", "passed": passed + 1}, body)
             return
         if state in OUTCOMES:
             result = news.get("result", "")
--- a/pebbledrift/net/destinations.py
+++ b/pebbledrift/net/destinations.py
@@ -227,13 +227,14 @@
 
     def __init__(self, limits: Limits) -> None:
         self.most = limits.destination_sockets
+        self.shared = False  # with another process, for the time of an upgrade
         self.trust = Trust(limits)
         self.used = 0
         self.pools: weakref.WeakSet[ConnectionPool] = weakref.WeakSet()
 
     def allows(self) -> bool:
         """Whether one more may be opened; an idle connection somewhere makes room for it."""
-        if self.used < self.most:
+        if self.used < (self.most // 2 if self.shared else self.most):
             return True
         idle = [pool for pool in self.pools if pool.idle]
         if not idle:
@@ -406,6 +407,9 @@
         exchange = Exchange(request("GET", "/-/load", {"Host": self.host}), done)
         self.pool.start(exchange, self.limits.probe_ms, late)
 
+    def taken(self, attempt: Attempt) -> bool:
+        return attempt not in self.exchanges
+
     def recall(self) -> None:
         """Guards a worker that is taken out: sends that wait for a connection must not arrive later."""
         for exchange in list(self.exchanges.values()):
--- a/pebbledrift/net/front.py
+++ b/pebbledrift/net/front.py
@@ -11,7 +11,8 @@
 
 from pebbledrift.config import Address, Limits
 from pebbledrift.net.ending import Ending
-from pebbledrift.net.http import HttpError, HttpProtocol, Message, response
+from pebbledrift.net.http import HttpError, HttpProtocol, Message, response, wire
+from pebbledrift.net.link import Fields
 
 log = logging.getLogger(__name__)
 
@@ -25,6 +26,9 @@
     def gone(self, socket: FrontSocket) -> None:
         """The connection has ended while its request was unanswered."""
 
+    def adopt(self, socket: FrontSocket, message: Message, job: Fields) -> None:
+        """A request that the process before this one has sent; it is answered here."""
+
 
 class FrontServer:
     """Accepts connections and makes room for them, so that bad clients cost the usual ones nothing.
@@ -41,6 +45,9 @@
         self.idle: dict[FrontSocket, None] = {}  # between requests
         self.reading = 0  # bytes of requests that are not complete
         self.closing = False
+        self.shared = False  # the table, with another process for the time of an upgrade
+        # gives a connection, and what has come on it, to the process that comes after; False where it cannot
+        self.heir: Callable[[Fields, int, bytes], bool] | None = None
         self._closing_since = 0.0
         self._sweeping: asyncio.TimerHandle | None = None
         self.listener: socket.socket | None = None
@@ -61,6 +68,31 @@
         found = self.listener.getsockname()
         return found[0], found[1]
 
+    def rest(self, resting: bool) -> None:
+        """Leave newcomers to the other process that holds the listening socket, or accept again."""
+        if self.listener is not None:
+            if self._pause is not None:
+                self._pause.cancel()
+                self._pause = None
+            if resting:
+                self._loop.remove_reader(self.listener)
+            else:
+                self._loop.add_reader(self.listener, self._accept)
+
+    def offer_all(self) -> None:
+        """Give the heir every connection on which nothing is owed."""
+        for front in list(self.sockets):
+            front.offer()
+
+    def adopt(self, descriptor: int, fields: Fields, data: bytes) -> None:
+        """Go on with a connection of the process before this one."""
+        accepted = socket.socket(fileno=descriptor)
+        if not self._room():
+            log.warning("no room for a connection that came over")
+            accepted.close()
+            return
+        self._take_in(accepted, FrontSocket(self, spare=False, came_over=(fields, data)))
+
     def close(self) -> None:
         """Accept no more."""
         for timer in (self._pause, self._sweeping):
@@ -112,12 +144,18 @@
                 log.warning("cannot accept", extra={"error": str(error)})
                 self._wait()
                 return
-            accepted.setblocking(False)
-            front = FrontSocket(self, spare=len(self.sockets) >= self.limits.front_sockets)
-            self.sockets.add(front)  # counted from here on, not from when the loop comes round to it
-            task = self._loop.create_task(self._connect(front, accepted))
-            self._accepted.add(task)
-            task.add_done_callback(self._accepted.discard)
+            self._take_in(accepted, FrontSocket(self, spare=len(self.sockets) >= self._most()))
+
+    def _take_in(self, accepted: socket.socket, front: FrontSocket) -> None:
+        accepted.setblocking(False)
+        self.sockets.add(front)  # counted from here on, not from when the loop comes round to it
+        task = self._loop.create_task(self._connect(front, accepted))
+        self._accepted.add(task)
+        task.add_done_callback(self._accepted.discard)
+
+    def _most(self) -> int:
+        """Sockets in the table."""
+        return self.limits.front_sockets // 2 if self.shared else self.limits.front_sockets
 
     async def _connect(self, front: FrontSocket, accepted: socket.socket) -> None:
         try:
@@ -140,7 +178,7 @@
 
     def _room(self) -> bool:
         """Guards the table against connections that say nothing: at need they make room, oldest first."""
-        if len(self.sockets) < self.limits.front_sockets:
+        if len(self.sockets) < self._most():
             return True
         for victim in self._dispensable():
             victim.abort()
@@ -149,7 +187,7 @@
         if any(s.current is None for s in self.sockets):
             return False  # too young to judge: in a moment they have asked, or may go
         # all are being served: the reserve lets workers' call-backs in, others get a busy reply
-        return len(self.sockets) < self.limits.front_sockets + self.limits.spare_sockets
+        return len(self.sockets) < self._most() + self.limits.spare_sockets
 
     def _dispensable(self) -> Iterator[FrontSocket]:
         now = self._loop.time()
@@ -165,10 +203,13 @@
 class FrontSocket(HttpProtocol):
     """One connection: one request at a time, further ones wait in order."""
 
-    def __init__(self, server: FrontServer, spare: bool) -> None:
+    def __init__(
+        self, server: FrontServer, spare: bool, came_over: tuple[Fields, bytes] | None = None
+    ) -> None:
         super().__init__(server.limits, request=True)
         self.server = server
         self.spare = spare  # beyond the table: for a call-back, or a busy reply
+        self.came_over = came_over  # of another process: what it tells of the connection, and what came on it
         self.waiting: deque[Message] = deque()
         self.current: Message | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -182,6 +223,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        if self.came_over is not None:
+            self._go_on(*self.came_over)
+            return
         self.server.silent[self] = None
         # guards sockets against clients that connect and say nothing, or not all, or one byte at a time
         self._arm(self.limits.first_ms, self._first_late)
@@ -217,7 +261,7 @@
     def message_received(self, message: Message) -> None:
         if self.last:
             return
-        if self.current is not None or self.waiting:
+        if self.current is not None or self.waiting or self.server.heir is not None:
             self.waiting.append(message)
         else:
             self._begin(message)
@@ -225,6 +269,8 @@
     def fed(self) -> None:
         if self.last:
             return
+        if self.waiting and self.current is None and not self.offer():
+            self._begin(self.waiting.popleft())
         if self.waiting:
             # guards memory: what is sent in advance stays with the kernel until its turn
             self._pause()
@@ -249,6 +295,7 @@
             self.failed = error.status  # what came before still gets its answers, then this one
             self.parser.drop()
             self._pause()
+            self._next()
 
     def answer(self, status: int, headers: dict[str, str], body: bytes = b"") -> None:
         """Answer the current request."""
@@ -272,6 +319,7 @@
                 self.server.idle[self] = None
                 self._arm(self.limits.front_idle_ms, self._idle_late)
             self._resume()
+            self.offer()
 
     def reject(self, status: int, body: bytes = b"") -> None:
         """Answer the current request with an error that is the sender's own, and read no further.
@@ -281,6 +329,47 @@
         self.current = None
         self._end_with(response(status, {}, body, False))
 
+    def offer(self) -> bool:
+        """Give the connection, and whole requests that wait, to the process that comes after; or False."""
+        if self.server.heir is None or self.server.closing or self.current is not None:
+            return False
+        data = b"".join(map(wire, self.waiting))
+        age = self.server._loop.time() - self.since
+        return self.give({"kind": "socket", "used": self.used, "age": age}, data)
+
+    def give(self, fields: Fields, data: bytes) -> bool:
+        """Hand the descriptor over, unless this process holds anything that is under way on it."""
+        transport, heir = self.transport, self.server.heir
+        if heir is None or transport is None or transport.is_closing() or self.last or self.failed:
+            return False
+        if self.parser.inside or transport.get_write_buffer_size() or len(data) > self.limits.line_bytes // 2:
+            return False
+        if not heir(fields, transport.get_extra_info("socket").fileno(), data):
+            return False
+        self.last = True
+        self.current = None
+        self.waiting.clear()
+        transport.abort()  # closes this process's descriptor alone: nothing is said to the client
+        return True
+
+    def _go_on(self, fields: Fields, data: bytes) -> None:
+        """Take up what the process before this one has told of the connection."""
+        age = float(fields["age"])
+        self.since -= age
+        self.used = bool(fields["used"])
+        if "job" in fields:
+            (self.current,) = self.parser.feed(data)
+            self.server.handler.adopt(self, self.current, fields["job"])
+            return
+        if self.used:
+            self.server.idle[self] = None
+            self._arm(self.limits.front_idle_ms, self._idle_late)
+        else:
+            self.server.silent[self] = None
+            self._arm(max(0.0, self.limits.first_ms - 1000 * age), self._first_late)
+        if data:
+            self.feed(data)
+
     def _begin(self, message: Message) -> None:
         if self.timer is not None:
             self.timer.cancel()
--- a/pebbledrift/net/http.py
+++ b/pebbledrift/net/http.py
@@ -274,8 +274,12 @@
         return _SCRATCH
 
     def buffer_updated(self, nbytes: int) -> None:
+        self.feed(bytes(_SCRATCH[:nbytes]))
+
+    def feed(self, data: bytes) -> None:
+        """Take in what was read."""
         try:
-            for message in self.parser.feed(bytes(_SCRATCH[:nbytes])):
+            for message in self.parser.feed(data):
                 self.message_received(message)
             self.fed()
         except HttpError as error:
@@ -312,6 +316,15 @@
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
 
 
+def wire(message: Message) -> bytes:
+    """A request that was parsed, as bytes again."""
+    framing = ("content-length", "transfer-encoding")
+    headers = {name: value for name, value in message.headers.items() if name not in framing}
+    if not message.keep_alive:
+        headers["connection"] = "close"
+    return request(message.first, message.second, headers, bytes(message.body))
+
+
 def request(method: str, target: str, headers: dict[str, str], body: bytes = b"") -> bytes:
     """A request with its length."""
     lines = [f"{method} {target} HTTP/1.1"]
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -4,9 +4,13 @@
 
 import http.client
 import itertools
+import os
 import socket
+import subprocess
+import sys
+from typing import Any
 
-from tests.node import SETTINGS, WAIT, Discovery, NodeTest, Worker, ask, eventually
+from tests.node import SETTINGS, WAIT, Discovery, Node, NodeTest, Worker, ask, eventually
 from tests.test_node import keep, serve
 
 
@@ -158,18 +162,132 @@
 
 
 class UpgradeTest(NodeTest):
-    def test_an_inherited_socket_is_served_and_outlives_the_process(self) -> None:
-        worker = Worker("s-1", serve)
-        self.addCleanup(worker.close)
-        discovery = Discovery([worker.target()])
-        self.addCleanup(discovery.close)
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            worker.node = f"127.0.0.1:{listener.getsockname()[1]}"
-            for i in range(2):
-                node = self.start(
-                    listener=listener, listen=worker.node, discovery=discovery.address, settings=SETTINGS
-                )
-                self.assertEqual(node.address, worker.node)
-                eventually(lambda node=node: ask(node.address, "GET", "/-/ready")[0] == 200)  # type: ignore[misc]
-                self.assertEqual(node.job(f"j{i}")[0], 200)
-                self.assertEqual(node.terminate(), 0)
+    """Starts the program twice, with one listening socket that both inherit."""
+
+    def setUp(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.worker = Worker("s-1", serve)
+        self.addCleanup(self.worker.close)
+        self.worker.node = self.address
+        self.discovery = Discovery([self.worker.target()])
+        self.addCleanup(self.discovery.close)
+        self.shared = self.folder()
+
+    def process(self, **config: Any) -> Node:
+        """One more process of the node."""
+        node = self.start(
+            self.shared,
+            self.listener,
+            **{
+                "listen": self.address,
+                "admin": "127.0.0.1:0",
+                "discovery": self.discovery.address,
+                "settings": SETTINGS,
+                **config,
+            },
+        )
+        eventually(lambda: node.call("STATUS").startswith("SUCCESS"))
+        return node
+
+    def client(self) -> http.client.HTTPConnection:
+        client = http.client.HTTPConnection(self.address, timeout=WAIT)
+        self.addCleanup(client.close)
+        return client
+
+    def post(self, client: http.client.HTTPConnection, job: str) -> None:
+        client.request("POST", f"/pesagem?sid={ord(job[0]):x}", b"load", {"X-Call-Id": job, "X-Budget": "5"})
+
+    def test_an_inherited_socket_outlives_a_process_and_a_stale_meeting_place_is_harmless(self) -> None:
+        for i in range(2):
+            node = self.process()
+            self.assertEqual((node.address, node.job(f"j{i}")[0]), (self.address, 200))
+            node.kill()
+
+    def test_the_newer_process_takes_the_clients_over_and_none_is_closed(self) -> None:
+        old = self.process()
+        idle, busy = self.client(), self.client()
+        idle.request("GET", "/-/ready")
+        idle.getresponse().read()
+        kept = idle.sock
+        self.worker.act = keep
+        self.post(busy, "b")
+        self.assertEqual(self.worker.jobs.get(timeout=WAIT), "b")
+        new = self.process()
+        eventually(lambda: old.call("STATUS") == "FAILURE succeeded\n")
+        self.assertEqual(ask(self.address, "GET", "/-/ready")[0], 200)
+        self.worker.act = serve
+        self.post(idle, "i")
+        self.assertEqual(idle.getresponse().read(), b"ran i")
+        self.assertIs(idle.sock, kept)
+        # the call-back comes in at the newer process; the job is the older one's, or has gone over
+        self.assertEqual(ask(self.address, "POST", "/pesagem", b"", {"X-Call-Id": "b"})[0], 409)
+        self.assertEqual(self.worker.call("b", "done", result="old"), 204)
+        self.assertEqual(busy.getresponse().read(), b"old")
+        self.assertEqual((old.figures()["current"], new.figures()["current"]), (0, 0))
+        self.assertEqual(new.figures()["transactions.pesagem.answered"], 1)
+        self.assertEqual(old.terminate(), 0)
+        self.post(busy, "c")
+        self.assertEqual(busy.getresponse().read(), b"ran c")
+        for node in (old, new):
+            self.assertFalse([line for line in node.log if "level=error" in line])
+
+    def test_jobs_that_run_on_go_over_after_sigterm(self) -> None:
+        old = self.process(node={"hand_over_ms": 1})
+        self.worker.act = keep
+        clients = [self.client() for _ in range(2)]
+        self.post(clients[0], "a")
+        self.assertEqual(self.worker.jobs.get(timeout=WAIT), "a")
+        new = self.process()
+        self.post(clients[1], "b")
+        self.assertEqual(self.worker.jobs.get(timeout=WAIT), "b")
+        self.assertEqual(old.terminate(), 0)
+        self.assertEqual(new.figures()["current"], 2)
+        self.assertEqual(self.worker.call("a", "failed"), 204)
+        self.assertEqual(clients[0].getresponse().status, 502)  # it may have run: it is not sent again
+        self.assertEqual(self.worker.call("b", "done", result="late"), 204)
+        self.assertEqual(clients[1].getresponse().read(), b"late")
+        self.assertTrue(self.worker.jobs.empty())
+
+    def test_a_newer_process_that_dies_leaves_the_place_to_the_older(self) -> None:
+        old = self.process()
+        gone = Discovery([])
+        gone.close()
+        # one that never hears discovery, and has no list, is not ready: the older goes on
+        waiting = subprocess.Popen(
+            [sys.executable, "-m", "pebbledrift", "--config", str(old.path)],
+            stderr=subprocess.PIPE,
+            text=True,
+            pass_fds=(self.listener.fileno(),),
+            env={**os.environ, "TMPDIR": self.shared, "GW_FD": str(self.listener.fileno())}
+            | {"GW_DISCOVERY": gone.address, "GW_ADMIN": "127.0.0.1:0"},
+        )
+        assert waiting.stderr is not None
+        for line in waiting.stderr:
+            if "event=operators" in line:
+                break
+        self.assertEqual(old.call("STATUS"), "SUCCESS ready\n")
+        waiting.kill()
+        waiting.wait(WAIT)
+        waiting.stderr.close()
+        new = self.process()
+        eventually(lambda: old.call("STATUS") == "FAILURE succeeded\n")
+        new.kill()
+        eventually(lambda: old.call("STATUS") == "SUCCESS ready\n")
+        self.assertEqual(old.job("a")[0], 200)
+
+    def test_bans_and_a_pause_pass_over_and_are_told_both_ways(self) -> None:
+        old = self.process()
+        self.assertTrue(old.call("SUSPEND s-1").startswith("SUCCESS"))
+        self.discovery.targets.append({**self.worker.target(), "uid": "s-2"})
+        self.discovery.rev += 1
+        new = self.process()
+        self.assertEqual(new.figures()["cluster_unhealthy"], 1)
+        self.assertTrue(new.call("RESTORE s-1").startswith("SUCCESS"))
+        eventually(lambda: old.figures()["cluster_unhealthy"] == 0)
+        self.assertTrue(old.call("PAUSE").startswith("SUCCESS"))
+        eventually(lambda: new.call("STATUS") == "FAILURE paused\n")
+        self.assertEqual(ask(self.address, "GET", "/-/ready")[0], 503)
+        self.assertTrue(new.call("RESUME").startswith("SUCCESS"))
+        self.assertEqual(ask(self.address, "GET", "/-/ready")[0], 200)
