The newer process begins with what the older has learned of workers and keys

Cause: a new Dispatcher begins with limit 1 a worker (brain.py, Worker.limit) and grows it by its inverse with each start. Ruled out: the door (0 requests), descriptors, CPU (0.52 of 0.85).

--- a/pebbledrift/core/engine.py
+++ b/pebbledrift/core/engine.py
@@ -6,6 +6,7 @@
 import heapq
 import logging
 from collections import OrderedDict
+from typing import Any
 
 from pebbledrift.config import Limits
 from pebbledrift.core.clock import Clock
@@ -22,6 +23,7 @@
 )
 from spoolpier import Dispatcher
 from spoolpier import interface as api
+from spoolpier.handover import learn, learned
 
 log = logging.getLogger(__name__)
 
@@ -235,6 +237,15 @@
         """Workers that the module leaves alone now."""
         return self._dispatcher.table.avoided(self.clock.now_ms())
 
+    def learned(self) -> dict[str, Any]:
+        """What the module has learned, as plain data."""
+        return learned(self._dispatcher)
+
+    def learn(self, told: dict[str, Any]) -> None:
+        """Let the module begin with what the one before it has learned."""
+        self.step_now()  # the list comes first
+        learn(self._dispatcher, told)
+
     def attempt_of(self, job: str, worker: int) -> Attempt | None:
         """The latest attempt of an operation at a worker, if the operation is still known."""
         operation = self.open.get(job)
--- a/pebbledrift/upgrade.py
+++ b/pebbledrift/upgrade.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 import socket
 from collections.abc import Awaitable, Callable
@@ -145,6 +146,8 @@
                     self.pool.lay_ban(str(uid), True)
                 self.states.pause(bool(fields["paused"]))
                 self._heard.set()
+            case "learned":
+                self.engine.learn(json.loads(body))
             case "ids":
                 self.engine.elsewhere.update(fields["ids"])
             case "socket" | "job" if descriptor is not None:
@@ -194,6 +197,7 @@
         assert self.heir is not None
         self.place.close()
         self.fronts.rest(True)
+        self.heir.send({"kind": "learned"}, json.dumps(self.engine.learned()).encode())
         ids = list(self.engine.open)
         for i in range(0, len(ids), IDS):
             self.heir.send({"kind": "ids", "ids": ids[i : i + IDS]})
