--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -80,7 +80,6 @@
     front_idle_ms: float = 75_000.0
     admin_ms: float = 10_000.0  # an operator's call has to be complete by then
     meet_ms: float = 1500.0  # an older process that has told nothing by then is not waited for
-    hand_over_ms: float = 1800.0  # after SIGTERM the jobs that are still out go over to the newer process
     sweep_ms: float = 250.0  # between looks for connections to close, on a node that is emptied
     watch_connect_ms: float = 1000.0
     list_ms: float = 2500.0  # a call for the whole list: calls wait for one another at discovery
--- a/pebbledrift/core/engine.py
+++ b/pebbledrift/core/engine.py
@@ -12,7 +12,6 @@
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.figures import Figures
 from pebbledrift.core.model import (
-    PROVEN_NOT_RUN,
     Answer,
     Attempt,
     Destinations,
@@ -23,7 +22,7 @@
 )
 from spoolpier import Dispatcher
 from spoolpier import interface as api
-from spoolpier.handover import learn, learned
+from spoolpier.handover import adopt, job_state, learn, learned
 
 log = logging.getLogger(__name__)
 
@@ -89,29 +88,12 @@
             # nothing of it has run: a busy reply is true whatever its class
             self.refuse(operation, "too many open")
             return
-        now = self.clock.now_ms()
-        grace = operation.expires_ms - now - self.limits.answer_margin_ms
-        if grace <= 0:
+        if operation.expires_ms - self.clock.now_ms() <= self.limits.answer_margin_ms:
             self._tell(operation, Answer(Verdict.REFUSED, b"", 0.0, "no time left"))
             return
-        self.open[operation.id] = operation
-        self.figures.current += 1
-        self.held_bytes += size
-        operation.timer = self._loop.call_later(grace / 1000, self._time_is_up, operation)
+        grace = self._enter(operation)
         self._observe(operation, "taken")
-        self._event(
-            api.Arrival(
-                job=operation.id,
-                job_class=operation.job_class,
-                grace_ms=grace,
-                key=operation.key,
-                hint_ms=operation.hint_ms,
-                slots=operation.slots,
-                memory=operation.memory,
-                tenant=operation.tenant,
-                repeat=operation.repeat,
-            )
-        )
+        self._event(self._arrival(operation, grace))
 
     def refuse(self, operation: Operation, reason: str) -> None:
         """A front has no place for an operation: nothing of it has run, and a busy reply is true."""
@@ -124,52 +106,78 @@
         if operation.answer is None and not operation.recipients:
             self._finish(operation, Answer(Verdict.FAILED, reason="client gone"))
             self._event(api.ClientGone(operation.id))
-            if operation.adopted:  # the module cannot take back what it does not know
-                self._cancel_all(operation)
 
-    def release(self, operation: Operation) -> tuple[Attempt, bool] | None:
-        """Give up an operation that a worker has taken, for the process that comes after to wait for its end.
+    def portable(self, operation: Operation) -> dict[str, Any] | None:
+        """What the module knows of an operation that can go on elsewhere; None where it cannot.
 
-        Returns its attempt, and whether an earlier one may have run; None, and nothing is changed, where it
-        is not so far: only what waits for a call-back alone can go on elsewhere.
+        It can where one attempt is out that the worker has taken: only its call-back is awaited.
         """
         out = [a for a in operation.attempts if a.open]
         if operation.answer is not None or len(out) != 1 or not out[0].destination.taken(out[0]):
             return None
-        attempt = out[0]
-        for timer in (operation.timer, attempt.timer):
-            if timer is not None:
-                timer.cancel()
+        return job_state(self._dispatcher, operation.id)
+
+    def release(self, operation: Operation) -> None:
+        """The operation has gone over to another process."""
+        if operation.timer is not None:
+            operation.timer.cancel()
         del self.open[operation.id]
         self.figures.current -= 1
         self.held_bytes -= len(operation.work.body)
-        attempt.outcome = api.OutcomeKind.CANCELLED
-        elapsed = self.clock.now_ms() - attempt.sent_ms
-        worker, number = attempt.worker, attempt.number
-        self._event(api.Outcome(operation.id, number, worker, attempt.outcome, elapsed, True))
+        for attempt in operation.attempts:
+            if attempt.open:
+                if attempt.timer is not None:
+                    attempt.timer.cancel()
+                attempt.outcome = api.OutcomeKind.CANCELLED
+                elapsed = self.clock.now_ms() - attempt.sent_ms
+                worker, number = attempt.worker, attempt.number
+                self._event(api.Outcome(operation.id, number, worker, attempt.outcome, elapsed, True))
         self._wake_idle()
-        return attempt, any(a.outcome not in PROVEN_NOT_RUN for a in operation.attempts if a is not attempt)
 
-    def adopt(self, operation: Operation, worker: int, started: bool, earlier: bool) -> None:
-        """Wait for the end of an operation that the process before this one has sent: it is never resent."""
-        operation.adopted = True
-        operation.attempts.clear()
+    def adopt(self, operation: Operation, told: dict[str, Any]) -> None:
+        """Go on with an operation of the process before this one, as if it had been sent here."""
+        self.step_now()  # the module has to know the list, and the time
+        grace = self._enter(operation)
+        adopt(self._dispatcher, self._arrival(operation, grace), told)
+        now = self.clock.now_ms()
+        for number in range(int(told["attempts"])):
+            known = next((k for k in told["suspects"] if k["number"] == number), None)
+            worker = known["worker"] if known is not None else 0
+            sent_ms = known["sent_at"] if known is not None else now
+            destination = self.destinations.find(worker) or Nowhere()
+            attempt = Attempt(operation, number, worker, destination, sent_ms, now + grace)
+            operation.attempts.append(attempt)
+            if known is None:
+                attempt.outcome = api.OutcomeKind.NOT_SENT  # proven to have never run
+            elif not known["open"]:
+                attempt.outcome = api.OutcomeKind.UNKNOWN
+            else:
+                attempt.started = known["started"]
+                attempt.timer = self._loop.call_later(grace / 1000, self._attempt_timed_out, attempt)
+        self._wake(now)
+
+    def _enter(self, operation: Operation) -> float:
+        """Begin to owe an answer; returns the time for it."""
+        grace = max(0.0, operation.expires_ms - self.clock.now_ms() - self.limits.answer_margin_ms)
         self.elsewhere.discard(operation.id)
         self.open[operation.id] = operation
         self.figures.current += 1
         self.held_bytes += len(operation.work.body)
-        now = self.clock.now_ms()
-        expires = operation.expires_ms - self.limits.answer_margin_ms
-        delay = max(0.0, expires - now) / 1000
-        destination = self.destinations.find(worker) or Nowhere()
-        if earlier:
-            lost = Attempt(operation, 0, worker, destination, now, expires, api.OutcomeKind.UNKNOWN)
-            operation.attempts.append(lost)
-        number = len(operation.attempts)
-        attempt = Attempt(operation, number, worker, destination, now, expires, started=started)
-        operation.attempts.append(attempt)
-        operation.timer = self._loop.call_later(delay, self._time_is_up, operation)
-        attempt.timer = self._loop.call_later(delay, self._attempt_timed_out, attempt)
+        operation.timer = self._loop.call_later(grace / 1000, self._time_is_up, operation)
+        return grace
+
+    def _arrival(self, operation: Operation, grace: float) -> api.Arrival:
+        return api.Arrival(
+            job=operation.id,
+            job_class=operation.job_class,
+            grace_ms=grace,
+            key=operation.key,
+            hint_ms=operation.hint_ms,
+            slots=operation.slots,
+            memory=operation.memory,
+            tenant=operation.tenant,
+            repeat=operation.repeat,
+        )
 
     def room_for(self, size: int) -> bool:
         """Whether another operation with a body of this size would be taken in."""
@@ -399,8 +407,6 @@
             attempt.timer.cancel()
         operation = attempt.operation
         elapsed = self.clock.now_ms() - attempt.sent_ms
-        if operation.adopted and operation.answer is None:
-            self._finish(operation, self._given_up(operation))
         done = operation.answer is not None
         worker, number = attempt.worker, attempt.number
         self._event(api.Outcome(operation.id, number, worker, kind, elapsed, done, report))
@@ -448,12 +454,6 @@
         if not self.open and self._idle is not None and not self._idle.done():
             self._idle.set_result(None)
 
-    def _cancel_all(self, operation: Operation) -> None:
-        for attempt in operation.attempts:
-            if attempt.open:
-                attempt.destination.cancel(attempt)
-                self._close_attempt(attempt, api.OutcomeKind.CANCELLED, None)
-
     def _remember(self, job: str) -> None:
         """Guards against a second run, and a shared answer, where an id comes again."""
         self._recent[job] = None
--- a/pebbledrift/fronts/platform.py
+++ b/pebbledrift/fronts/platform.py
@@ -159,30 +159,19 @@
         recipient = SocketRecipient(self, socket)
         operation.recipients.append(recipient)
         self.owed[socket] = operation, recipient
-        self.engine.adopt(operation, int(job["worker"]), bool(job["started"]), bool(job["earlier"]))
+        self.engine.adopt(operation, job["module"])
 
     def hand_over(self) -> None:
         """Give the jobs that workers have taken to the process that comes after, with their connections."""
         for socket, (operation, _) in list(self.owed.items()):
             message = socket.current
-            if message is None or socket.waiting:
+            known = self.engine.portable(operation)
+            if message is None or socket.waiting or known is None:
                 continue
-            found = self.engine.release(operation)
-            if found is None:
-                continue
-            attempt, earlier = found
-            job = {
-                "worker": attempt.worker,
-                "started": attempt.started,
-                "earlier": earlier,
-                "left_ms": operation.expires_ms - self.clock.now_ms(),
-            }
-            fields = {"kind": "job", "used": True, "age": 0.0, "job": job}
-            if socket.give(fields, wire(message)):
+            job = {"left_ms": operation.expires_ms - self.clock.now_ms(), "module": known}
+            if socket.give({"kind": "job", "used": True, "age": 0.0, "job": job}, wire(message)):
                 del self.owed[socket]
-            else:
-                # it stays here: as far as the module knows it is over, and so it only waits for its end
-                self.engine.adopt(operation, attempt.worker, attempt.started, earlier)
+                self.engine.release(operation)
 
     def called_back(self, body: bytes, passed: int) -> None:
         """A worker's call-back: taken in early, twice or late, and answered alike.
--- a/pebbledrift/upgrade.py
+++ b/pebbledrift/upgrade.py
@@ -108,14 +108,8 @@
                 link.send(fields)
 
     async def leave(self) -> None:
-        """After SIGTERM, in the elder: the jobs that are still out go to the heir. Returns when all are."""
-        try:
-            async with asyncio.timeout(self.limits.hand_over_ms / 1000):
-                await self.engine.drained()
-        except TimeoutError:
-            log.info("jobs go over", extra={"open": len(self.engine.open)})
+        """After SIGTERM, in the elder: wait until all that is owed is answered or has gone over."""
         while self.heir is not None and (self.engine.open or self.fronts.sockets):
-            self.front.hand_over()
             await asyncio.sleep(AGAIN_S)
 
     def close(self) -> None:
@@ -208,6 +202,7 @@
     async def _give(self) -> None:
         while True:
             self.fronts.offer_all()
+            self.front.hand_over()
             await asyncio.sleep(AGAIN_S)
 
     def _heir_lost(self) -> None:
--- a/spoolpier/handover.py
+++ b/spoolpier/handover.py
@@ -1,10 +1,11 @@
-"""What a dispatcher has learned, as plain data for the process that takes its place. It decides nothing."""
+"""What a dispatcher knows, as plain data for the process that takes its place. It decides nothing."""
 
 from __future__ import annotations
 
 from typing import Any
 
-from spoolpier.brain import Dispatcher, Worker
+from spoolpier import interface as api
+from spoolpier.brain import Attempt, Dispatcher, Job, Worker, mix
 
 FLEET = ("run_ms", "overhead", "pace", "pressure")
 WORKER = ("limit", "strikes", "failed_until", "unreached", "suspended_until")
@@ -48,6 +49,49 @@
     signatures.total = float(told["total"])
 
 
+def job_state(dispatcher: Dispatcher, name: str) -> dict[str, Any] | None:
+    """A job with an attempt out: those that may have run, oldest first, and where. None without one."""
+    job = dispatcher.ledger.jobs.get(name)
+    if job is None or not job.is_open:
+        return None
+    suspects = [
+        {
+            "number": a.number,
+            "worker": a.worker.id,
+            "zone": a.worker.zone,
+            "cell": a.worker.cell,
+            "sent_at": a.sent_at,
+            "heard_at": a.heard_at,
+            "started": a.started,
+            "open": a.open,
+        }
+        for a in job.suspects
+    ]
+    return {"attempts": job.attempts, "barred": sorted(job.barred), "suspects": suspects}
+
+
+def adopt(dispatcher: Dispatcher, event: api.Arrival, told: dict[str, Any]) -> None:
+    """Take in a job that another process has sent, as if this dispatcher had: all rules go on from there."""
+    table, ledger = dispatcher.table, dispatcher.ledger
+    kind = dispatcher.settings.classes[event.job_class]
+    lost = max(0.0, kind.deadline_ms - event.grace_ms)  # the aim has run on meanwhile
+    job = Job(event, kind, dispatcher.now, dispatcher.settings.tick_ms, lost)
+    job.attempts, job.barred = int(told["attempts"]), set(told["barred"])
+    ledger.jobs[job.id] = job
+    for known in told["suspects"]:
+        w = table.workers.get(known["worker"])
+        if w is None:
+            # has left the list: what may have run there binds the job to its zone and cell all the same
+            w = Worker(known["worker"], mix(known["worker"]), known["zone"], known["cell"])
+            table.workers[w.id] = w
+        a = Attempt(job, known["number"], w, known["sent_at"], known["open"], known["started"])
+        a.heard_at = known["heard_at"]
+        job.suspects.append(a)
+        if a.open:
+            ledger.out[job.id, a.number] = a
+            table.count_sent(w, job, dispatcher.now)
+
+
 def _worker(worker: Worker) -> dict[str, Any]:
     known = {name: getattr(worker, name) for name in WORKER}
     return {"id": worker.id, "started_ms": worker.started_ms, "key": worker.key, **known}
