Messages sent before the other process's end are read, and the older waits to be let go

Cause: where a process ends with a message of the other's unread, the other's next recvmsg tells a reset first; Link._read took that for the end and closed the socket, and with it the descriptors that were queued behind (link.py, OSError). A call-back passed on in that moment was lost too. Ruled out: descriptors cut short (none logged), the room in the table (86 of 384 in all), an early SIGTERM, which now also finds its way. An address of the operators that is still taken no longer ends the start.

--- a/pebbledrift/__main__.py
+++ b/pebbledrift/__main__.py
@@ -77,11 +77,9 @@
     if config.front_fd is not None:
         await upgrade.meet()
 
-    async def serve_operators() -> None:
-        assert config.admin is not None
-        where = config.admin
-        address = await upgrade.once_free(lambda: admin.listen(where))
-        log.info("operators", extra={"address": "{}:{}".format(*address)})
+    if config.admin is not None:
+        address = config.admin
+        await upgrade.once_free(lambda: admin.listen(address))
 
     async def serve_tubes() -> None:
         nonlocal tubes
@@ -98,13 +96,9 @@
         for socket in server.sockets:
             log.info("listening", extra={"address": "{}:{}".format(*socket.getsockname()[:2])})
 
-    starting = [
-        loop.create_task(start())
-        for start, wanted in ((serve_operators, config.admin), (serve_tubes, config.beanstalk))
-        if wanted is not None
-    ]
-    if upgrade.elder is None:
-        await asyncio.gather(*starting)
+    tubes_served = loop.create_task(serve_tubes()) if config.beanstalk is not None else None
+    if tubes_served is not None and upgrade.elder is None:
+        await tubes_served
 
     def apply(new: Config, hosts: list[Host]) -> None:
         if tubes is not None:
@@ -130,12 +124,12 @@
     await stop
     log.info("stopping", extra={"open": len(engine.open)})
     states.stop()  # answers from here on close their connections, unless these go over to a newer process
-    if states.succeeded:
-        await upgrade.leave()
     if not states.succeeded:
         await asyncio.sleep(config.limits.take_ms / 1000)
         front.taking = False
         await asyncio.sleep(max(0.0, config.limits.linger_ms - config.limits.take_ms) / 1000)
+    if states.succeeded:  # the newer process may have said so after the signal
+        await upgrade.leave()
     # the listening socket stays: the workers' call-backs for what is still open come in there
     if tubes is not None:
         tubes.stop()
@@ -145,8 +139,9 @@
     fronts.close()
     admin.close()
     upgrade.close()
-    for task in (may_serve, *starting):
-        task.cancel()
+    for task in (may_serve, tubes_served):
+        if task is not None:
+            task.cancel()
     for server in servers:
         server.close()
     await pool.stop()
--- a/pebbledrift/net/lines.py
+++ b/pebbledrift/net/lines.py
@@ -23,12 +23,12 @@
         self.callers: dict[LineSocket, None] = {}  # oldest first
         self._server: asyncio.Server | None = None
 
-    async def listen(self, address: Address) -> Address:
-        """Begin to accept; returns the address with the port that was given."""
+    async def listen(self, address: Address) -> None:
+        """Begin to accept."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(lambda: LineSocket(self), *address, backlog=128)
         found = self._server.sockets[0].getsockname()
-        return found[0], found[1]
+        log.info("operators", extra={"address": f"{found[0]}:{found[1]}"})
 
     def close(self) -> None:
         """Accept no more, and end what is open."""
--- a/pebbledrift/net/link.py
+++ b/pebbledrift/net/link.py
@@ -91,6 +91,10 @@
             data, descriptors, flags, _ = socket.recv_fds(self.socket, MOST, 1)
         except (BlockingIOError, InterruptedError):
             return
+        except ConnectionResetError:
+            # guards clients' connections in the messages before: the other side ended with something of ours
+            # unread, which is told first and once. What it had sent is still there, and then the end
+            return
         except OSError as error:
             log.info("link lost", extra={"error": str(error)})
             self._broken()
--- a/pebbledrift/upgrade.py
+++ b/pebbledrift/upgrade.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import logging
 import socket
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
 
 from pebbledrift.config import Config
 from pebbledrift.core.engine import Engine
@@ -20,7 +20,7 @@
 log = logging.getLogger(__name__)
 
 AGAIN_S = 0.05  # between looks at what can go over by now
-Found = TypeVar("Found")
+LET_GO_S = 0.2  # the newer process still passes call-backs on for so long after the older's last word
 VISITS = 1000  # until a process whose elder is busy with another goes on by itself
 IDS = 500  # open ids in one message
 
@@ -49,7 +49,9 @@
         self.alone = asyncio.Event()  # no older process is left
         self._heard = asyncio.Event()  # the elder has told what operators told it
         self._lost = asyncio.Event()
+        self._leaving = False
         self._giving: asyncio.Task[None] | None = None
+        self._waiting: asyncio.Task[None] | None = None
         front.elsewhere = self._pass_on
 
     async def meet(self) -> None:
@@ -81,16 +83,22 @@
         while self.elder is not None and not self.states.could_serve():
             await asyncio.sleep(AGAIN_S)
 
-    async def once_free(self, listen: Callable[[], Awaitable[Found]]) -> Found:
+    async def once_free(self, listen: Callable[[], Awaitable[None]]) -> None:
         """Listen at an address that the older process may still have: that must not end the start."""
+        try:
+            await listen()
+        except OSError as error:
+            if self.elder is None:
+                raise
+            log.warning("waits for an address", extra={"error": str(error)})
+            self._waiting = asyncio.get_running_loop().create_task(self._until_free(listen))
+
+    async def _until_free(self, listen: Callable[[], Awaitable[None]]) -> None:
         while True:
-            try:
-                return await listen()
-            except OSError as error:
-                if self.elder is None:
-                    raise
-                log.info("waits for an address", extra={"error": str(error)})
-                await asyncio.sleep(AGAIN_S)
+            await asyncio.sleep(AGAIN_S)
+            with contextlib.suppress(OSError):
+                await listen()
+                return
 
     def serve(self) -> None:
         """Clients are accepted here now: the older process is told so, and the next one finds this one."""
@@ -108,15 +116,25 @@
                 link.send(fields)
 
     async def leave(self) -> None:
-        """After SIGTERM, in the elder: wait until all that is owed is answered or has gone over."""
+        """After SIGTERM, in the elder: wait until all that is owed is answered or has gone over.
+
+        Then until the heir has let go: call-backs that it has passed on meanwhile have to go back to it.
+        """
         while self.heir is not None and (self.engine.open or self.fronts.sockets):
             await asyncio.sleep(AGAIN_S)
+        self._leaving = True
+        if self.heir is not None:
+            self.heir.send({"kind": "gone"})
+        deadline = asyncio.get_running_loop().time() + self.limits.meet_ms / 1000
+        while self.heir is not None and asyncio.get_running_loop().time() < deadline:
+            await asyncio.sleep(AGAIN_S)
 
     def close(self) -> None:
         """The process ends."""
         self.place.close()
-        if self._giving is not None:
-            self._giving.cancel()
+        for task in (self._giving, self._waiting):
+            if task is not None:
+                task.cancel()
         for link in (self.elder, self.heir):
             if link is not None:
                 link.close()
@@ -142,6 +160,9 @@
                 self._heard.set()
             case "learned":
                 self.engine.learn(json.loads(body))
+            case "gone":
+                # what came just before has to be entered here before call-backs are passed on no more
+                asyncio.get_running_loop().call_later(LET_GO_S, self._let_go)
             case "ids":
                 self.engine.elsewhere.update(fields["ids"])
             case "socket" | "job" if descriptor is not None:
@@ -149,6 +170,11 @@
             case _:
                 self._from_either(fields, body)
 
+    def _let_go(self) -> None:
+        if self.elder is not None:
+            self.elder.close()
+            self._elder_lost()
+
     def _elder_lost(self) -> None:
         log.info("the older process has ended")
         self.elder = None
@@ -208,6 +234,8 @@
     def _heir_lost(self) -> None:
         """Guards the node against a newer process that dies: this one goes on."""
         self.heir = self.fronts.heir = None
+        if self._leaving:
+            return
         self._share(self.elder is not None)
         if self._giving is not None:
             self._giving.cancel()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import socket
 import unittest
 from dataclasses import replace
 
@@ -13,6 +14,7 @@
 from pebbledrift.config import Limits
 from pebbledrift.net.destinations import ConnectionPool, Exchange, SocketBudget
 from pebbledrift.net.http import HttpError, Message, Parser
+from pebbledrift.net.link import Link
 from spoolpier import interface as api
 from tests.node import WAIT
 
@@ -63,6 +65,28 @@
         self.assertEqual((bytes(last.body), last.keep_alive), (b"body", False))
 
 
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    async def test_what_was_sent_before_an_end_is_read_though_the_other_side_had_not_read_all(self) -> None:
+        # the reset that tells of the unread message came first, and clients' connections went with the rest
+        ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        client, connection = socket.socketpair()
+        got: list[tuple[object, bytes, int | None]] = []
+        lost = asyncio.Event()
+        link = Link(ours, lambda fields, body, descriptor: got.append((fields, body, descriptor)), lost.set)
+        link.send({"kind": "unread"})
+        socket.send_fds(theirs, [b'{"kind": "socket"}\nabc'], [connection.fileno()])
+        theirs.close()
+        connection.close()
+        async with asyncio.timeout(WAIT):
+            await lost.wait()
+        [(fields, body, descriptor)] = got
+        self.assertEqual((fields, body), ({"kind": "socket"}, b"abc"))
+        assert descriptor is not None
+        with client, socket.socket(fileno=descriptor) as passed:
+            passed.sendall(b"still open")
+            self.assertEqual(client.recv(10), b"still open")
+
+
 class PoolTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.got: list[bytes] = []
