The slots of each kind of worker go over to the newer process

Seen in a trace: after an upgrade cold workers stood idle while jobs were refused. WorkerTable.cold_budget takes a kind for one slot until a report shows more free ones, which a busy fleet seldom has; the traced older process knew 4 and 5.

--- a/spoolpier/handover.py
+++ b/spoolpier/handover.py
@@ -19,6 +19,7 @@
     return {
         "fleet": {name: getattr(table, name) for name in FLEET},
         "failing_until": table.failing_until,
+        "slots_of_kind": list(table.slots_of_kind.items()),
         "workers": [_worker(w) for w in table.workers.values() if w.up],
         "keys": [(k, signatures.counts[k], signatures.seconds.get(k)) for k in keys],
         "total": signatures.total,
@@ -31,6 +32,8 @@
     for name in FLEET:
         setattr(table, name, float(told["fleet"][name]))
     table.failing_until = float(told["failing_until"])
+    # without it a cold worker counts as one of a single slot, and gets a fraction of what it could do
+    table.slots_of_kind = {int(kind): float(slots) for kind, slots in told["slots_of_kind"]}
     for known in told["workers"]:
         worker = table.workers.get(int(known["id"]))
         # one that has started since is another process: what was known of it would be wrong
