Tubes pass over when the older process has closed them, and a message too long is not sent

Seen on reading: the newer process took the older's last word for its end and bound the beanstalkd address while the older still held it and the store's file; a producer that kept putting could keep the older from ending; a table of learned workers over 192 KB would have broken the link. Now the older stops its tubes before it waits, and says its last word when the store is closed (upgrade.farewell). The new test starts the program twice with that front.

--- a/pebbledrift/__main__.py
+++ b/pebbledrift/__main__.py
@@ -89,16 +89,27 @@
             log.warning("tubes wait for the older process to end")
             await upgrade.alone.wait()
         tubes = front = start_beanstalk(config, engine, clock, pool, store)
-        server = await loop.create_server(
-            lambda: BeanstalkSocket(config.limits, front), *config.beanstalk.listen, backlog=128
-        )
-        servers.append(server)
-        for socket in server.sockets:
-            log.info("listening", extra={"address": "{}:{}".format(*socket.getsockname()[:2])})
+        where = config.beanstalk.listen
+
+        async def listen() -> None:
+            server = await loop.create_server(
+                lambda: BeanstalkSocket(config.limits, front), *where, backlog=128
+            )
+            servers.append(server)
+            for socket in server.sockets:
+                log.info("listening", extra={"address": "{}:{}".format(*socket.getsockname()[:2])})
+
+        await upgrade.once_free(listen)
+
+    def told(task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            log.error("tubes are not served", exc_info=task.exception())
 
     tubes_served = loop.create_task(serve_tubes()) if config.beanstalk is not None else None
     if tubes_served is not None and upgrade.elder is None:
         await tubes_served
+    elif tubes_served is not None:
+        tubes_served.add_done_callback(told)
 
     def apply(new: Config, hosts: list[Host]) -> None:
         if tubes is not None:
@@ -128,17 +139,16 @@
         await asyncio.sleep(config.limits.take_ms / 1000)
         front.taking = False
         await asyncio.sleep(max(0.0, config.limits.linger_ms - config.limits.take_ms) / 1000)
-    if states.succeeded:  # the newer process may have said so after the signal
-        await upgrade.leave()
     # the listening socket stays: the workers' call-backs for what is still open come in there
     if tubes is not None:
         tubes.stop()
+    if states.succeeded:  # the newer process may have said so after the signal
+        await upgrade.leave()
     await engine.drained()
     if tubes is not None and tubes.plain:
         await asyncio.sleep(config.limits.linger_ms / 1000)  # for producers to fetch the last answers
     fronts.close()
     admin.close()
-    upgrade.close()
     for task in (may_serve, tubes_served):
         if task is not None:
             task.cancel()
@@ -146,6 +156,7 @@
         server.close()
     await pool.stop()
     store.close()
+    await upgrade.farewell()  # the newer process may now have what this one had
     log.info("stopped")
 
 
--- a/pebbledrift/net/link.py
+++ b/pebbledrift/net/link.py
@@ -41,7 +41,11 @@
         """Send a message, now or once the other side has read what is before it."""
         if self.closed:
             return
-        self.queue.append(json.dumps(fields).encode() + b"\n" + body)
+        data = json.dumps(fields).encode() + b"\n" + body
+        if len(data) > MOST:
+            log.error("message too long", extra={"kind": str(fields.get("kind"))})  # guards the link itself
+            return
+        self.queue.append(data)
         if len(self.queue) > QUEUE:
             log.error("the other process does not read")  # guards memory
             self._broken()
--- a/pebbledrift/upgrade.py
+++ b/pebbledrift/upgrade.py
@@ -50,6 +50,7 @@
         self._heard = asyncio.Event()  # the elder has told what operators told it
         self._lost = asyncio.Event()
         self._leaving = False
+        self._succeeds = False  # there was an older process at the start
         self._giving: asyncio.Task[None] | None = None
         self._waiting: asyncio.Task[None] | None = None
         front.elsewhere = self._pass_on
@@ -62,6 +63,7 @@
                 self.alone.set()
                 return
             self._share(True)
+            self._succeeds = True
             self._lost.clear()
             self.elder = Link(end, self._from_elder, self._elder_lost)
             heard = asyncio.ensure_future(self._heard.wait())
@@ -88,7 +90,7 @@
         try:
             await listen()
         except OSError as error:
-            if self.elder is None:
+            if not self._succeeds:
                 raise
             log.warning("waits for an address", extra={"error": str(error)})
             self._waiting = asyncio.get_running_loop().create_task(self._until_free(listen))
@@ -116,12 +118,12 @@
                 link.send(fields)
 
     async def leave(self) -> None:
-        """After SIGTERM, in the elder: wait until all that is owed is answered or has gone over.
-
-        Then until the heir has let go: call-backs that it has passed on meanwhile have to go back to it.
-        """
+        """After SIGTERM, in the elder: wait until all that is owed is answered or has gone over."""
         while self.heir is not None and (self.engine.open or self.fronts.sockets):
             await asyncio.sleep(AGAIN_S)
+
+    async def farewell(self) -> None:
+        """The process ends. What call-backs the heir has passed on meanwhile have to go back to it first."""
         self._leaving = True
         if self.heir is not None:
             self.heir.send({"kind": "gone"})
@@ -129,8 +131,6 @@
         while self.heir is not None and asyncio.get_running_loop().time() < deadline:
             await asyncio.sleep(AGAIN_S)
 
-    def close(self) -> None:
-        """The process ends."""
         self.place.close()
         for task in (self._giving, self._waiting):
             if task is not None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -294,6 +294,19 @@
         eventually(lambda: old.call("STATUS") == "SUCCESS ready\n")
         self.assertEqual(old.job("a")[0], 200)
 
+    def test_tubes_are_served_by_one_process_at_a_time(self) -> None:
+        old = self.process(beanstalk={"listen": "127.0.0.1:0"})
+        tubes = old.addresses[0]
+        new = self.process(beanstalk={"listen": tubes})
+        self.assertTrue(any("tubes wait" in line for line in new.log))
+        self.assertEqual(old.terminate(), 0)
+        eventually(lambda: any(f"event=listening address={tubes}" in line for line in new.log))
+        host, _, port = tubes.partition(":")
+        with socket.create_connection((host, int(port)), WAIT) as client:
+            client.sendall(b"list-tubes\r\n")
+            self.assertTrue(client.recv(4096).startswith(b"OK "))
+        self.assertFalse([line for line in new.log if "level=error" in line])
+
     def test_bans_and_a_pause_pass_over_and_are_told_both_ways(self) -> None:
         old = self.process()
         self.assertTrue(old.call("SUSPEND s-1").startswith("SUCCESS"))
