--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import re
 import tempfile
 import tomllib
@@ -18,6 +19,17 @@
 TUBE = re.compile(r"[A-Za-z0-9+/;.$_()][A-Za-z0-9+/;.$_()-]{0,199}\Z")  # the protocol's rule for names
 
 
+# what the processes of a node with several take beside their fronts: descriptors, and megabytes
+SUPERVISOR_SOCKETS = 72  # operators, discovery, connections that are being passed on
+CORE_LINKS = 16  # for each process, at both ends
+SUPERVISOR_MB = 40
+CORE_MB = 40
+KEYS = frozenset(
+    "name listen admin discovery peer_listen peers peers_all known seed limits settings node beanstalk"
+    " inventory store_file log_level cores".split()
+)
+
+
 class ConfigError(ValueError):
     """A configuration that the node cannot start with; the message names the key."""
 
@@ -115,6 +127,16 @@
     tubes: tuple[TubeConfig, ...]
 
 
+@dataclass(frozen=True)
+class CoresConfig:
+    """How many processes are one node, and what they share (docs/cores.md)."""
+
+    processes: int = 1
+    slots: str = "shared"  # what is in use at each worker: "shared" on the board, or "divided"
+    cold: str = "shared"  # the budget of a worker that starts cold: the same two words
+    accept: str = "passed"  # the supervisor deals connections out; "inherited": each process accepts itself
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """What a node is told at its start."""
@@ -139,6 +161,7 @@
     inventory: str = ""
     store_file: str = ""
     log_level: str = "info"
+    cores: CoresConfig = field(default_factory=CoresConfig)
 
 
 def address(value: object, key: str) -> Address:
@@ -194,16 +217,48 @@
     return tuple(str(name) for name in found)
 
 
-def read_limits(config: Mapping[str, Any], settings: Mapping[str, Any], shared: bool) -> Limits:
+def read_cores(config: Mapping[str, Any], cpus: int) -> CoresConfig:
+    """The operator's [cores] table; without one, the node is a single process."""
+    table = table_of(config.get("cores", {}), "cores")
+    for key in table:
+        if key not in ("processes", "slots", "cold", "accept"):
+            raise ConfigError(f"cores.{key}: unknown")
+    processes = table.get("processes", 1)
+    if isinstance(processes, bool) or not isinstance(processes, int) or processes < 1:
+        raise ConfigError(f"cores.processes: not a whole number of at least 1: {processes!r}")
+    if processes > cpus:
+        raise ConfigError(f"cores.processes: this machine has {cpus} cores, not {processes}")
+    words = {}
+    for key, known in (
+        ("slots", ("shared", "divided")),
+        ("cold", ("shared", "divided")),
+        ("accept", ("passed", "inherited")),
+    ):
+        words[key] = text(table, key, getattr(CoresConfig, key), "cores.")
+        if words[key] not in known:
+            raise ConfigError(f"cores.{key}: not one of {', '.join(known)}: {words[key]!r}")
+    return CoresConfig(processes, **words)
+
+
+def read_limits(
+    config: Mapping[str, Any], settings: Mapping[str, Any], shared: bool, processes: int = 1
+) -> Limits:
     """The limits: the deployment's, scaled to the sockets at hand, then the operator's [node] table.
 
-    Where a second process may share the machine (`shared`), each of the two takes half the memory.
+    Where a second process may share the machine (`shared`), each of the two takes half the memory. Of
+    several processes that are one node, each has its part of sockets, memory and operations, and the
+    supervisor its own.
     """
     values: dict[str, Any] = {}
     machine = table_of(config.get("limits", {}), "limits")
     sockets = int(amount(machine.get("sockets", 1024), "limits.sockets"))
     if sockets < 64:
         raise ConfigError(f"limits.sockets: at least 64 are needed, not {sockets}")
+    if processes > 1:
+        sockets = (sockets - SUPERVISOR_SOCKETS - processes * CORE_LINKS) // processes
+        if sockets < 64:
+            least = 64 * processes + SUPERVISOR_SOCKETS + processes * CORE_LINKS
+            raise ConfigError(f"limits.sockets: cores.processes = {processes} needs at least {least}")
     if "beanstalk" in config:
         values["beanstalk_sockets"] = sockets * 30 // 100
         values["front_sockets"] = sockets * 28 // 100
@@ -217,6 +272,11 @@
     memory = amount(machine.get("memory_mb", 192), "limits.memory_mb")
     if memory < 24:
         raise ConfigError(f"limits.memory_mb: at least 24 are needed, not {memory:g}")
+    if processes > 1:
+        if memory < SUPERVISOR_MB + CORE_MB * processes:
+            least = SUPERVISOR_MB + CORE_MB * processes
+            raise ConfigError(f"limits.memory_mb: cores.processes = {processes} needs at least {least}")
+        memory = (memory - SUPERVISOR_MB) / processes - (CORE_MB - 24)
     rest = int(max(4, (memory - 40) / 2 if shared else memory - 20) * 1024 * 1024)
     values["held_bytes"] = min(Limits.held_bytes, rest // 2)
     values["reading_bytes"] = min(Limits.reading_bytes, rest // 6)
@@ -232,6 +292,7 @@
     if "most_held" in site:
         held = int(amount(site["most_held"], "settings.limits.most_held"))
         values["operations"] = max(1, min(Limits.operations, held))
+    values["operations"] = max(1, values.get("operations", Limits.operations) // processes)
     known = {f.name: f.type for f in fields(Limits)}
     for key, value in table_of(config.get("node", {}), "node").items():
         if key not in known:
@@ -304,6 +365,10 @@
     if not where:
         raise ConfigError("GW_CONFIG: not set, and no configuration file given")
     config = read_file(where)
+    if path or where.endswith(".toml"):  # an operator's; the platform's may carry more than is known
+        for key in config:
+            if key not in KEYS:
+                raise ConfigError(f"{key}: unknown")
     raw = table_of(config.get("settings"), "settings")
     try:
         settings = read_settings(raw)
@@ -329,6 +394,9 @@
     if fd and not (fd.isascii() and fd.isdigit() and len(fd) < 8):
         raise ConfigError(f"GW_FD: not a descriptor: {fd!r}")
     front_fd = int(fd) if fd else None
+    cores = read_cores(config, len(os.sched_getaffinity(0)))
+    if cores.processes > 1 and front_fd is not None:
+        raise ConfigError("cores.processes: a node with an inherited socket (GW_FD) has one process")
     peers = config.get("peers", [])
     if not isinstance(peers, list):
         raise ConfigError(f"peers: not a list: {peers!r}")
@@ -340,7 +408,7 @@
     return Config(
         name=text(config, "name", "node"),
         settings=settings,
-        limits=read_limits(config, raw, front_fd is not None),
+        limits=read_limits(config, raw, front_fd is not None, cores.processes),
         classes=classes,
         tenants=tenants,
         zones=names(raw.get("zones", []), "settings.zones"),
@@ -358,4 +426,5 @@
         inventory=file("inventory"),
         store_file=file("store_file"),
         log_level=text(config, "log_level", environ.get("PEBBLEDRIFT_LOG", "info")),
+        cores=cores,
     )
--- a/pebbledrift/core/engine.py
+++ b/pebbledrift/core/engine.py
@@ -14,7 +14,9 @@
 from pebbledrift.core.model import (
     Answer,
     Attempt,
+    Claim,
     Destinations,
+    Neighbours,
     Observer,
     Operation,
     Recipient,
@@ -51,12 +53,19 @@
     """Turns what fronts and destinations report into events, and the module's actions into calls."""
 
     def __init__(
-        self, settings: api.Settings, limits: Limits, clock: Clock, seed: int, destinations: Destinations
+        self,
+        settings: api.Settings,
+        limits: Limits,
+        clock: Clock,
+        seed: int,
+        destinations: Destinations,
+        neighbours: Neighbours | None = None,
     ) -> None:
         self.settings = settings
         self.limits = limits
         self.clock = clock
         self.destinations = destinations
+        self.neighbours = neighbours  # None: this process is the whole node
         self.observers: list[Observer] = []
         self.figures = Figures(len(settings.classes))
         self.open: dict[str, Operation] = {}
@@ -81,7 +90,7 @@
         """Take an operation in, once for each id."""
         if self.knows(operation.id):
             # guards the owner's answer: whoever comes under its id has not had a request run
-            self._tell(operation, Answer(Verdict.FAILED, reason="id in use"))
+            self._tell(operation, Answer(Verdict.FAILED, reason="id in use", in_use=True))
             return
         size = len(operation.work.body)
         if not self.room_for(size):
@@ -91,6 +100,14 @@
         if operation.expires_ms - self.clock.now_ms() <= self.limits.answer_margin_ms:
             self._tell(operation, Answer(Verdict.REFUSED, b"", 0.0, "no time left"))
             return
+        if self.neighbours is not None:
+            claim = self.neighbours.claim(operation.id)
+            if claim is Claim.TAKEN:
+                self._tell(operation, Answer(Verdict.FAILED, reason="id in use", in_use=True))
+                return
+            if claim is Claim.NO_ROOM:
+                self.refuse(operation, "no room for its id")
+                return
         grace = self._enter(operation)
         self._observe(operation, "taken")
         self._event(self._arrival(operation, grace))
@@ -245,6 +262,10 @@
         """Workers that the module leaves alone now."""
         return self._dispatcher.table.avoided(self.clock.now_ms())
 
+    def closed(self, worker: int) -> bool:
+        """Whether the newest word at the node is that nothing new may be sent to a worker."""
+        return self.neighbours is not None and self.neighbours.closed(worker)
+
     def learned(self) -> dict[str, Any]:
         """What the module has learned, as plain data."""
         return learned(self._dispatcher)
@@ -298,6 +319,7 @@
         self._step_timer = None
         now = self._last_step = self.clock.now_ms()
         events, self._events = self._events, []
+        self._hear_neighbours(events)
         # guards against a wake-up lost to an earlier step: the module does not ask for the same one again
         while self._wakes and self._wakes[0] <= now:
             heapq.heappop(self._wakes)
@@ -320,10 +342,17 @@
         if self._wakes:
             self._wake(self._wakes[0])
 
+    def _hear_neighbours(self, events: list[api.Event]) -> None:
+        """Put what the other processes of the node do before everything else that has happened."""
+        if self.neighbours is not None:
+            shares = self.neighbours.shares()
+            if shares:
+                events.insert(0, api.Shares(shares))
+
     def _act(self, action: api.Action, now: float) -> None:
         match action:
-            case api.Send(job, worker, timeout):
-                self._send(self.open.get(job), worker, timeout, now)
+            case api.Send(job):
+                self._send(self.open.get(job), action, now)
             case api.Cancel(job, number):
                 operation = self.open.get(job)
                 if operation is not None and number < len(operation.attempts):
@@ -354,21 +383,28 @@
             case api.Tell():
                 log.warning("the module has no peer channel of its own")
 
-    def _send(self, operation: Operation | None, worker: int, timeout_ms: float, now: float) -> None:
+    def _send(self, operation: Operation | None, send: api.Send, now: float) -> None:
         if operation is None or operation.answer is not None:
             return
+        worker = send.worker
         destination = self.destinations.find(worker)
         number = len(operation.attempts)
         if destination is None:
             self._event(api.Outcome(operation.id, number, worker, api.OutcomeKind.NOT_SENT, 0.0, False))
             return
         expires = operation.expires_ms - self.limits.answer_margin_ms
-        if timeout_ms > 0:
-            expires = min(expires, now + timeout_ms)
+        if send.timeout_ms > 0:
+            expires = min(expires, now + send.timeout_ms)
         attempt = Attempt(operation, number, worker, destination, now, expires)
         operation.attempts.append(attempt)
         delay = max(0.0, expires - now) / 1000
         attempt.timer = self._loop.call_later(delay, self._attempt_timed_out, attempt)
+        if self.neighbours is not None:
+            self.neighbours.filled(worker, operation.slots)
+            # guards a cold worker: what other processes spent since the module last heard of it counts too
+            if send.most > 0 and not self.neighbours.take_cold(worker, send.turn, send.work, send.most):
+                self._close_attempt(attempt, api.OutcomeKind.NOT_SENT, None)
+                return
         try:
             for observer in self.observers:
                 observer(operation, "sent")
@@ -406,6 +442,8 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         operation = attempt.operation
+        if self.neighbours is not None:
+            self.neighbours.filled(attempt.worker, -operation.slots)
         elapsed = self.clock.now_ms() - attempt.sent_ms
         done = operation.answer is not None
         worker, number = attempt.worker, attempt.number
@@ -458,4 +496,6 @@
         """Guards against a second run, and a shared answer, where an id comes again."""
         self._recent[job] = None
         while len(self._recent) > self.limits.recent:
-            self._recent.popitem(last=False)
+            old, _ = self._recent.popitem(last=False)
+            if self.neighbours is not None:
+                self.neighbours.forget(old)
--- a/pebbledrift/core/model.py
+++ b/pebbledrift/core/model.py
@@ -27,6 +27,7 @@
     result: bytes = b""
     retry_after_ms: float = 0.0
     reason: str = ""
+    in_use: bool = False  # failed because the id belongs to another request
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +75,36 @@
         """Follow discovery's changes from now on."""
 
 
+class Claim(Enum):
+    """What came of a claim to an id."""
+
+    OWN = "own"
+    TAKEN = "taken"  # it is open elsewhere in this node, was answered lately, or was lost with its process
+    NO_ROOM = "no room"  # nothing is known of the id, and nothing of it may run
+
+
+class Neighbours(Protocol):
+    """The other processes of the same node, as the core sees them (docs/cores.md)."""
+
+    def claim(self, job: str) -> Claim:
+        """Make an id this process's own, if it is nobody's. Atomic over all processes."""
+
+    def forget(self, job: str) -> None:
+        """An id of this process is free again."""
+
+    def closed(self, worker: int) -> bool:
+        """Whether nothing new may be sent to a worker, by the newest word at the node. Read at each send."""
+
+    def take_cold(self, worker: int, turn: int, work: float, most: float) -> bool:
+        """Spend from a cold worker's budget for a turn; False where it would go over `most`."""
+
+    def filled(self, worker: int, slots: float) -> None:
+        """This process fills so many slots more, or fewer, at a worker."""
+
+    def shares(self) -> tuple[api.Share, ...]:
+        """What has changed of what the others fill and spend."""
+
+
 @dataclass(slots=True, eq=False)
 class Operation:
     """A request taken in, until its final answer and the end of its last attempt."""
@@ -97,7 +128,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether any attempt is out or not proven to have never run."""
-        return any(a.outcome not in PROVEN_NOT_RUN for a in self.attempts)
+        return any(a.outcome not in api.PROVEN_NOT_RUN for a in self.attempts)
 
 
 @dataclass(slots=True, eq=False)
@@ -120,9 +151,5 @@
         return self.outcome is None
 
 
-PROVEN_NOT_RUN = frozenset(
-    (api.OutcomeKind.REFUSED, api.OutcomeKind.NO_CONNECTION, api.OutcomeKind.NOT_SENT)
-)
-
 Observer = Callable[[Operation, str], None]
 """Told of an operation's changes of state: taken, sent, served, refused, failed."""
--- /dev/null
+++ b/pebbledrift/discovery.py
@@ -0,0 +1,214 @@
+"""Discovery: the whole list, and a watch on its changes that survives discovery's outages."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+from typing import Any
+
+from pebbledrift.config import Address, Limits
+from pebbledrift.net.http import HttpProtocol, Message, request
+
+log = logging.getLogger(__name__)
+
+
+class Follower:
+    """Follows one discovery. `take` gets its objects in order: a list (`all`) or changes since the last."""
+
+    def __init__(
+        self,
+        limits: Limits,
+        seed: int,
+        discovery: Address | None,
+        take: Callable[[Mapping[str, Any]], None],
+    ) -> None:
+        self.limits = limits
+        self.discovery = discovery
+        self.take = take
+        self.rev: int | None = 0  # None: the whole list has to be asked for
+        self.heard = discovery is None
+        self.random = random.Random(seed)
+        self._watching: asyncio.Task[None] | None = None
+
+    def at(self, news: Mapping[str, Any]) -> None:
+        """Go on from the version of these news, which are known already."""
+        rev = news.get("rev")
+        if isinstance(rev, int) and not isinstance(rev, bool):
+            self.rev = rev
+
+    def told(self, news: Mapping[str, Any]) -> None:
+        """Hand news on, and go on from their version."""
+        self.at(news)
+        self.take(news)
+
+    def watch(self) -> None:
+        """Begin to follow discovery; the watch then renews itself for good."""
+        if self._watching is None and self.discovery is not None:
+            loop = asyncio.get_running_loop()
+            self._watching = loop.create_task(self._follow(self.discovery))
+
+    def move(self, discovery: Address | None) -> None:
+        """Follow another discovery. Workers, their connections and what is known of them stay."""
+        if discovery == self.discovery:
+            return
+        log.info("discovery moved", extra={"address": str(discovery)})
+        self.discovery = discovery
+        # the other may count its versions differently: changes since one of ours could hide a drain
+        self.rev = None
+        if self._watching is not None:
+            self._watching.cancel()
+            self._watching = None
+            self.watch()
+
+    async def stop(self) -> None:
+        """End the watch."""
+        if self._watching is not None:
+            self._watching.cancel()
+            await asyncio.gather(self._watching, return_exceptions=True)
+
+    async def _follow(self, discovery: Address) -> None:
+        limits = self.limits
+        host = f"{discovery[0]}:{discovery[1]}"
+        wait = limits.watch_retry_ms
+        while True:
+            heard = False
+            try:
+                if self.rev is None:
+                    await self._fetch(discovery, host)
+                heard = await self._watch(discovery, host)
+            except OSError as error:
+                log.info("discovery out of reach", extra={"error": str(error)})
+            wait = limits.watch_retry_ms if heard else min(2 * wait, limits.watch_retry_most_ms)
+            await asyncio.sleep(wait * self.random.uniform(0.5, 1.0) / 1000)
+
+    async def _fetch(self, discovery: Address, host: str) -> None:
+        """Take the whole list in, whatever has been told before."""
+        limits = self.limits
+        call = Listing(limits)
+        try:
+            async with asyncio.timeout(limits.list_ms / 1000):
+                await asyncio.get_running_loop().create_connection(lambda: call, *discovery)
+                call.begin("/api/targets", host)
+                news = await call.ended
+        finally:
+            call.abort()
+        if news is None:
+            raise ConnectionError("no whole list")
+        self.heard = True
+        self.rev = 0
+        self.told({**news, "all": True})
+
+    async def _watch(self, discovery: Address, host: str) -> bool:
+        """One watch to its end; returns whether it told anything."""
+        watch = Watch(self)
+        try:
+            async with asyncio.timeout(self.limits.watch_connect_ms / 1000):
+                await asyncio.get_running_loop().create_connection(lambda: watch, *discovery)
+            watch.begin(f"/api/targets?follow=1&since={self.rev}", host)
+            await watch.ended
+        finally:
+            watch.abort()
+        return watch.heard
+
+
+class Listing(HttpProtocol):
+    """One call for the whole list."""
+
+    def __init__(self, limits: Limits) -> None:
+        super().__init__(replace(limits, body_bytes=limits.line_bytes), request=False)
+        self.ended: asyncio.Future[dict[str, Any] | None] = asyncio.get_running_loop().create_future()
+
+    def begin(self, target: str, host: str) -> None:
+        """Ask."""
+        assert self.transport is not None
+        self.transport.write(request("GET", target, {"Host": host}))
+
+    def message_received(self, message: Message) -> None:
+        news = None
+        if message.status == 200:
+            try:
+                news = json.loads(bytes(message.body))
+            except (ValueError, RecursionError) as error:
+                log.warning("malformed list from discovery", extra={"error": str(error)})
+        if not self.ended.done():
+            # a list without its targets would count as a fleet that has left
+            whole = isinstance(news, dict) and isinstance(news.get("targets"), list)
+            self.ended.set_result(news if whole else None)
+
+    def eof_received(self) -> bool:
+        last = self.parser.close()
+        if last is not None:
+            self.message_received(last)
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+
+class Watch(HttpProtocol):
+    """One watch: a response that stays open and holds one object per line."""
+
+    def __init__(self, follower: Follower) -> None:
+        super().__init__(follower.limits, request=False, stream=True)
+        self.follower = follower
+        self.heard = False
+        self.head: Message | None = None
+        self.loop = asyncio.get_running_loop()
+        self.ended: asyncio.Future[None] = self.loop.create_future()
+        self.timer: asyncio.TimerHandle | None = None
+
+    def begin(self, target: str, host: str) -> None:
+        """Ask for the changes."""
+        assert self.transport is not None
+        self.transport.write(request("GET", target, {"Host": host}))
+        self._alive()
+
+    def message_received(self, message: Message) -> None:
+        self.head = message
+        if message.status != 200:
+            log.info("watch refused", extra={"status": message.status})
+            self.abort()
+
+    def fed(self) -> None:
+        head = self.head
+        if head is None or head.status != 200:
+            return
+        self._alive()
+        while (end := head.body.find(b"\n")) >= 0:
+            line = bytes(head.body[:end]).strip()
+            del head.body[: end + 1]
+            if line:
+                self._line(line)
+        if self.parser.ended:
+            self.abort()
+
+    def _line(self, line: bytes) -> None:
+        try:
+            news = json.loads(line)
+            if not isinstance(news, dict):
+                raise ValueError("not an object")
+        except (ValueError, RecursionError) as error:
+            # a gap in the changes could hide a drain: the whole list is asked for again
+            log.warning("malformed line from discovery", extra={"error": str(error)})
+            self.follower.rev = None
+            self.abort()
+            return
+        self.heard = self.follower.heard = True
+        self.follower.told(news)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+    def _alive(self) -> None:
+        """Guards against a watch that is cut off without a word: it counts as ended when silent."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.loop.call_later(self.limits.watch_silent_ms / 1000, self.abort)
--- a/pebbledrift/fronts/admin.py
+++ b/pebbledrift/fronts/admin.py
@@ -1,86 +1,109 @@
-"""The operators' front: a call on a line, an answer that begins with SUCCESS or FAILURE."""
+"""The operators' calls: one line each, and an answer that begins with SUCCESS or FAILURE."""
 
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Protocol
 
-from pebbledrift.config import Config
-from pebbledrift.core.engine import Engine
-from pebbledrift.core.states import NodeStates, State
-from pebbledrift.net.link import Fields
-from pebbledrift.pool import PoolConfig
+from pebbledrift.core.figures import ClassFigures
+from pebbledrift.core.states import State
 
 log = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class NodeFigures:
+    """What METRICS tells, of the whole node: counts by class, then levels of now, then counts of reloads."""
+
+    classes: list[ClassFigures]
+    current: int
+    cluster_size: int
+    cluster_unhealthy: int
+    conf_loaded: int
+    conf_invalid: int
+
+
+class NotObeyed(Exception):
+    """A part of the node has not carried out a call and may still act against it."""
+
+
+class Operated(Protocol):
+    """The node as operators see it: one process, or several that answer as one."""
+
+    @property
+    def state(self) -> State:
+        """What the node is doing."""
+
+    async def pause(self, paused: bool) -> None:
+        """Empty the node, or take clients again. Raises NotObeyed."""
+
+    async def ban(self, uid: str, banned: bool) -> bool:
+        """Take a worker out, or put it back; False if nobody has heard of it. Raises NotObeyed."""
+
+    async def figures(self) -> NodeFigures:
+        """The figures of the whole node."""
+
+
 class AdminFront:
     """Carries out the operators' calls."""
 
-    def __init__(
-        self,
-        config: Config,
-        engine: Engine,
-        pool: PoolConfig,
-        states: NodeStates,
-        tell: Callable[[Fields], None],
-    ) -> None:
-        self.config = config
-        self.engine = engine
-        self.pool = pool
-        self.states = states
-        self.tell = tell  # the other process, while there are two
-        self.calls: dict[str, Callable[[], str]] = {
+    def __init__(self, classes: tuple[str, ...], node: Operated) -> None:
+        self.classes = classes
+        self.node = node
+        self.calls: dict[str, Callable[[], Awaitable[str]]] = {
             "STATUS": self._status,
             "METRICS": self._metrics,
             "PAUSE": lambda: self._pause(True),
             "RESUME": lambda: self._pause(False),
         }
-        self.worker_calls: dict[str, Callable[[str], str]] = {
+        self.worker_calls: dict[str, Callable[[str], Awaitable[str]]] = {
             "SUSPEND": lambda uid: self._ban(uid, True),
             "RESTORE": lambda uid: self._ban(uid, False),
         }
 
-    def answer(self, line: str) -> str:
+    async def answer(self, line: str) -> str:
         """The answer to one call."""
-        match line.split():
-            case [word] if word in self.calls:
-                return self.calls[word]()
-            case [word, uid] if word in self.worker_calls:
-                return self.worker_calls[word](uid)
+        try:
+            match line.split():
+                case [word] if word in self.calls:
+                    return await self.calls[word]()
+                case [word, uid] if word in self.worker_calls:
+                    return await self.worker_calls[word](uid)
+        except NotObeyed as error:
+            log.error("not obeyed", extra={"call": line, "error": str(error)})
+            return f"FAILURE {error}"
         log.info("unknown call", extra={"call": line})
         return "FAILURE unknown call"
 
-    def _status(self) -> str:
-        state = self.states.state
+    async def _status(self) -> str:
+        state = self.node.state
         return f"{'SUCCESS' if state is State.READY else 'FAILURE'} {state.value}"
 
-    def _pause(self, paused: bool) -> str:
+    async def _pause(self, paused: bool) -> str:
         log.warning("paused" if paused else "resumed")
-        self.states.pause(paused)
-        self.tell({"kind": "pause", "paused": paused})
-        return f"SUCCESS {self.states.state.value}"
+        await self.node.pause(paused)
+        return f"SUCCESS {self.node.state.value}"
 
-    def _ban(self, uid: str, banned: bool) -> str:
-        if not self.pool.ban(uid, banned):
+    async def _ban(self, uid: str, banned: bool) -> str:
+        if not await self.node.ban(uid, banned):
             return "FAILURE unknown worker"
-        self.tell({"kind": "ban", "uid": uid, "banned": banned})
         log.warning("suspended" if banned else "restored", extra={"worker": uid})
         return f"SUCCESS {'out' if banned else 'in'}"
 
-    def _metrics(self) -> str:
-        figures = self.engine.figures
+    async def _metrics(self) -> str:
+        figures = await self.node.figures()
         lines = []
-        for name, counted in zip(self.config.classes, figures.classes, strict=True):
+        for name, counted in zip(self.classes, figures.classes, strict=True):
             under = f"svc.transactions.{name}"
             lines.append(f"{under}.answered:{counted.served}|c")
             lines.append(f"{under}.deferred:{counted.refused}|c")
             lines.append(f"{under}.errored:{counted.failed}|c")
             lines.append(f"{under}.sends:{counted.sends}|c")
-        listed = self.pool.listed()
         lines.append(f"svc.current:{figures.current}|g")
-        lines.append(f"svc.cluster_size:{len(listed)}|g")
-        lines.append(f"svc.cluster_unhealthy:{len(listed & (self.engine.avoided() | self.pool.banned))}|g")
+        lines.append(f"svc.cluster_size:{figures.cluster_size}|g")
+        lines.append(f"svc.cluster_unhealthy:{figures.cluster_unhealthy}|g")
         lines.append(f"svc.conf_loaded:{figures.conf_loaded}|c")
         lines.append(f"svc.conf_invalid:{figures.conf_invalid}|c")
         return "\n".join([*lines, "EOT"])
--- a/pebbledrift/fronts/platform.py
+++ b/pebbledrift/fronts/platform.py
@@ -65,6 +65,8 @@
         self.classes = {name: i for i, name in enumerate(config.classes)}
         self.tenants = {name: i for i, name in enumerate(config.tenants)}
         self.elsewhere: Callable[[Fields, bytes], None] = lambda fields, body: None
+        # passes a call-back to the process that owns its id; False where it cannot be passed on now
+        self.to_owner: Callable[[str, bytes], bool] = lambda job, body: True
         self.owed: dict[FrontSocket, tuple[Operation, SocketRecipient]] = {}
 
     def handle(self, socket: FrontSocket, message: Message) -> None:
@@ -190,6 +192,8 @@
         if attempt is None:
             if passed < 2:
                 self.elsewhere({"kind": "back", "passed": passed + 1}, body)
+                if not self.to_owner(job, body):
+                    raise Rejected(503, "not now")  # the worker calls again
             return
         if state in OUTCOMES:
             result = news.get("result", "")
@@ -216,4 +220,7 @@
         if answer.verdict is Verdict.REFUSED and answer.retry_after_ms > 0:
             headers["Retry-After"] = f"{answer.retry_after_ms / 1000:.3f}"
         body = answer.result if answer.verdict is Verdict.SERVED else answer.reason.encode()
-        self.socket.answer(STATUS[answer.verdict], headers, body)
+        if answer.in_use:
+            self.socket.reject(409, body)
+        else:
+            self.socket.answer(STATUS[answer.verdict], headers, body)
--- a/pebbledrift/logs.py
+++ b/pebbledrift/logs.py
@@ -4,6 +4,7 @@
 
 import logging
 import sys
+from collections.abc import Mapping
 
 _STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
 
@@ -20,11 +21,16 @@
 class KeyValueFormatter(logging.Formatter):
     """One line a record: time, level, logger, event, then what `extra` gave."""
 
+    def __init__(self, always: Mapping[str, object] | None = None) -> None:
+        super().__init__()
+        self.always = dict(always or {})  # stands in each line
+
     def format(self, record: logging.LogRecord) -> str:
         pairs: dict[str, object] = {
             "time": f"{record.created:.3f}",
             "level": record.levelname.lower(),
             "logger": record.name,
+            **self.always,
             "event": record.getMessage(),
         }
         pairs.update((k, v) for k, v in vars(record).items() if k not in _STANDARD)
@@ -61,9 +67,9 @@
         return True
 
 
-def setup(level: str) -> None:
-    """Send all records to standard error."""
+def setup(level: str, **always: object) -> None:
+    """Send all records to standard error, each with what `always` stands for."""
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(KeyValueFormatter())
+    handler.setFormatter(KeyValueFormatter(always))
     handler.addFilter(FloodFilter())
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
--- a/pebbledrift/net/destinations.py
+++ b/pebbledrift/net/destinations.py
@@ -108,8 +108,10 @@
         data: bytes,
         done: Callable[[Message | None, api.OutcomeKind], None],
         whole: Callable[[], None] | None = None,
+        closed: Callable[[], bool] = lambda: False,
     ) -> None:
         self.data = data
+        self.closed = closed  # whether nothing new may go there: asked right before the first byte
         self.whole = whole  # told once the last byte has left the process
         self.done: Callable[[Message | None, api.OutcomeKind], None] | None = done
         self.connection: Connection | None = None
@@ -123,6 +125,11 @@
         While connections break under requests, the last byte is kept back for a round trip: a connection that
         was dropped breaks meanwhile, and that proves that the request never ran.
         """
+        if self.closed():
+            # guards a worker that drains: the word may have come while a connection was waited for
+            connection.pool.give_back(connection)
+            self._end(None, api.OutcomeKind.NOT_SENT)
+            return
         self.connection = connection
         loop = asyncio.get_running_loop()
         self.began = loop.time()
@@ -367,6 +374,9 @@
         self.turned_down = 0  # requests in a row that the worker finds at fault
 
     def send(self, attempt: Attempt) -> None:
+        if self.engine.closed(self.worker):
+            self.engine.ended(attempt, api.OutcomeKind.NOT_SENT)
+            return
         work = attempt.operation.work
         left = max(0.001, (attempt.expires_ms - self.clock.now_ms()) / 1000)
         headers = {"Host": self.host, "X-Call-Id": attempt.operation.id, "X-Budget": f"{left:.3f}"}
@@ -377,6 +387,7 @@
             data,
             lambda message, kind: self._answered(attempt, message, kind),
             lambda: self.engine.sent_whole(attempt),
+            lambda: self.engine.closed(self.worker),
         )
         self.exchanges[attempt] = exchange
         once = self.engine.settings.classes[attempt.operation.job_class].effect is api.Effect.UNSAFE
--- a/pebbledrift/net/front.py
+++ b/pebbledrift/net/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import os
 import socket
 from collections import deque
 from collections.abc import Callable, Iterator
@@ -30,6 +31,14 @@
         """A request that the process before this one has sent; it is answered here."""
 
 
+def listening_socket(address: Address, backlog: int) -> socket.socket:
+    """A socket that listens at an address. It does not block."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    listener = socket.create_server(address, family=family, backlog=backlog)
+    listener.setblocking(False)
+    return listener
+
+
 class FrontServer:
     """Accepts connections and makes room for them, so that bad clients cost the usual ones nothing.
 
@@ -53,6 +62,7 @@
         self.listener: socket.socket | None = None
         self._loop = asyncio.get_running_loop()
         self._accepted: set[asyncio.Task[object]] = set()
+        self._passed: deque[tuple[int, Callable[[], None]]] = deque()  # by another process, not taken yet
         self._pause: asyncio.TimerHandle | None = None
 
     def listen(self, address: Address, inherited: int | None = None) -> Address:
@@ -61,8 +71,7 @@
             # never shut down: other processes hold the same socket, and would hear no more of clients
             self.listener = socket.socket(fileno=inherited)
         else:
-            family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-            self.listener = socket.create_server(address, family=family, backlog=self.limits.backlog)
+            self.listener = listening_socket(address, self.limits.backlog)
         self.listener.setblocking(False)
         self._loop.add_reader(self.listener, self._accept)
         found = self.listener.getsockname()
@@ -84,6 +93,23 @@
         for front in list(self.sockets):
             front.offer()
 
+    def take(self, descriptor: int, taken: Callable[[], None]) -> None:
+        """Take in a connection that another process has accepted, once there is room for it.
+
+        `taken` is called before anything is read from it: until then it may be given to somebody else.
+        """
+        self._passed.append((descriptor, taken))
+        self._take_passed()
+
+    def _take_passed(self) -> None:
+        while self._passed and self._room():
+            descriptor, taken = self._passed.popleft()
+            taken()
+            spare = len(self.sockets) >= self._most()
+            self._take_in(socket.socket(fileno=descriptor), FrontSocket(self, spare=spare))
+        if self._passed and self._pause is None:
+            self._pause = self._loop.call_later(self.limits.accept_pause_ms / 1000, self._go_on)
+
     def adopt(self, descriptor: int, fields: Fields, data: bytes) -> None:
         """Go on with a connection of the process before this one."""
         accepted = socket.socket(fileno=descriptor)
@@ -95,6 +121,9 @@
 
     def close(self) -> None:
         """Accept no more."""
+        for descriptor, _ in self._passed:
+            os.close(descriptor)
+        self._passed.clear()
         for timer in (self._pause, self._sweeping):
             if timer is not None:
                 timer.cancel()
@@ -175,6 +204,7 @@
         self._pause = None
         if self.listener is not None:
             self._loop.add_reader(self.listener, self._accept)
+        self._take_passed()
 
     def _room(self) -> bool:
         """Guards the table against connections that say nothing: at need they make room, oldest first."""
--- a/pebbledrift/net/lines.py
+++ b/pebbledrift/net/lines.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from pebbledrift.config import Address, Limits
 from pebbledrift.net.ending import Ending
@@ -17,7 +17,7 @@
 class LineServer:
     """Accepts callers within bounds of its own, so that a node full of clients still hears them."""
 
-    def __init__(self, limits: Limits, answer: Callable[[str], str]) -> None:
+    def __init__(self, limits: Limits, answer: Callable[[str], Awaitable[str]]) -> None:
         self.limits = limits
         self.answer = answer
         self.callers: dict[LineSocket, None] = {}  # oldest first
@@ -56,6 +56,7 @@
         self.transport: asyncio.Transport | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.ending: Ending | None = None
+        self.call: asyncio.Task[None] | None = None  # being carried out
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -78,16 +79,21 @@
         if self.ending is not None:
             self.ending.passed_over(nbytes)
             return
+        if self.call is not None:
+            return  # one line a connection
         self.line += _SCRATCH[:nbytes]
         end = self.line.find(b"\n")
         if 0 <= end <= self.limits.admin_line_bytes:
-            self._carry_out(self.line[:end].decode("ascii", "replace").strip())
+            line = self.line[:end].decode("ascii", "replace").strip()
+            self.call = asyncio.get_running_loop().create_task(self._carry_out(line))
         elif len(self.line) > self.limits.admin_line_bytes:
             self._end("FAILURE line too long")  # guards memory
 
     def eof_received(self) -> bool:
         if self.ending is not None:
             return False
+        if self.call is not None:
+            return True  # its answer is still to come
         # guards against carrying out half a call: the line may have been cut short
         self._end("FAILURE the line has no end")
         return True
@@ -100,9 +106,9 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def _carry_out(self, line: str) -> None:
+    async def _carry_out(self, line: str) -> None:
         try:
-            answer = self.server.answer(line)
+            answer = await self.server.answer(line)
         except Exception:
             log.exception("call failed", extra={"call": line})
             answer = "FAILURE internal error"
@@ -110,6 +116,8 @@
 
     def _end(self, answer: str) -> None:
         assert self.transport is not None
+        if self.ending is not None or self.transport.is_closing():
+            return  # the call took too long, or the caller has left
         if self.timer is not None:
             self.timer.cancel()
         self.ending = Ending(self.transport, self.limits, answer.encode("ascii", "replace") + b"\n")
--- /dev/null
+++ b/pebbledrift/node.py
@@ -0,0 +1,278 @@
+"""The composition root: the parts of one process that serves, and the phases of its life."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import signal
+from collections.abc import Callable
+
+from pebbledrift import inventory
+from pebbledrift.config import Config
+from pebbledrift.core.clock import Clock
+from pebbledrift.core.engine import Engine
+from pebbledrift.core.model import Answer, Destination, Neighbours
+from pebbledrift.core.states import NodeStates, State
+from pebbledrift.fronts.admin import AdminFront, NodeFigures
+from pebbledrift.fronts.beanstalk import BeanstalkFront
+from pebbledrift.fronts.platform import PlatformFront
+from pebbledrift.inventory import Host
+from pebbledrift.net.beanstalk import BeanstalkSocket
+from pebbledrift.net.datagrams import PeerSocket
+from pebbledrift.net.front import FrontServer
+from pebbledrift.net.lines import LineServer
+from pebbledrift.pool import PoolConfig
+from pebbledrift.reload import Reloader
+from pebbledrift.store.service import NodeStore
+from pebbledrift.upgrade import Upgrade
+
+log = logging.getLogger("pebbledrift")
+
+ReadAgain = Callable[[], Config]
+
+
+class Node:
+    """One engine with its fronts and destinations.
+
+    The phases, in this order: build (the constructor, no I/O), meet (peers, store, an older process), serve
+    (until it is told to end), drain (until nothing is owed), close. `run` goes through all of them.
+    """
+
+    def __init__(
+        self,
+        config: Config,
+        read_again: ReadAgain,
+        neighbours: Neighbours | None = None,
+        clock: Clock | None = None,
+    ) -> None:
+        self.config = config
+        self.loop = asyncio.get_running_loop()
+        self.clock = clock or Clock()
+        self.pool = PoolConfig(config, self.clock)
+        self.engine = Engine(
+            config.settings, config.limits, self.clock, config.seed, self.pool, neighbours
+        )
+        self.pool.engine = self.engine
+        self.stopping = asyncio.Event()
+        began = self.clock.now_ms()
+
+        def could_serve() -> bool:
+            waited = self.clock.now_ms() - began >= config.limits.ready_without_watch_ms
+            return self.pool.serves() and (self.pool.follower.heard or waited)
+
+        self.states = NodeStates(could_serve)
+        self.front = PlatformFront(config, self.engine, self.clock, self.states)
+        self.fronts = FrontServer(config.limits, self.front)
+        self.upgrade = Upgrade(config, self.engine, self.pool, self.states, self.front, self.fronts)
+        # what goes over to a newer process is not closed here
+        self.states.changed.append(
+            lambda: self.fronts.empty(
+                self.states.paused or (self.states.stopping and not self.states.succeeded)
+            )
+        )
+        self.admin = LineServer(config.limits, AdminFront(config.classes, self).answer)
+        self.reloader = Reloader(config, read_again, self.apply, self.engine.figures)
+        self.store: NodeStore | None = None
+        self.tubes: BeanstalkFront | None = None
+        self._servers: list[asyncio.Server] = []
+        self._tubes_served: asyncio.Task[None] | None = None
+        self._may_serve: asyncio.Task[None] | None = None
+
+    async def run(self) -> None:
+        """Serve until told to end and nothing is owed any more."""
+        log_lost_errors(self.loop)
+        self.heed_signals()
+        await self.meet()
+        hold_sighup(False)
+        gc.collect()
+        gc.freeze()
+        await self.serve()
+        await self.drain()
+        await self.close()
+
+    def heed_signals(self) -> None:
+        """SIGTERM and SIGINT end the node, SIGHUP has it read its configuration again."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stopping.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reloader.asked)
+
+    async def meet(self) -> None:
+        """Meet who is there already: the list as last known, peers, an older process, the operators."""
+        config = self.config
+        self.pool.begin(config.known)
+        peers = None
+        if config.peer_listen is not None and config.peers:
+            transport, peers = await self.loop.create_datagram_endpoint(
+                lambda: PeerSocket(config.limits, config.peers),
+                local_addr=config.peer_listen,
+                reuse_port=config.front_fd is not None,  # in an upgrade both processes have it
+            )
+            log.info("peers", extra={"address": "{}:{}".format(*transport.get_extra_info("sockname")[:2])})
+        self.store = NodeStore(config, self.clock, peers)
+        if config.front_fd is not None:
+            await self.upgrade.meet()
+        if config.admin is not None:
+            address = config.admin
+            await self.upgrade.once_free(lambda: self.admin.listen(address))
+        if config.beanstalk is not None:
+            self._tubes_served = self.loop.create_task(self._serve_tubes())
+            if self.upgrade.elder is None:
+                await self._tubes_served
+            else:
+                self._tubes_served.add_done_callback(_told)
+
+    async def serve(self) -> None:
+        """Accept clients, once this process could serve or is the only one, until it is told to end."""
+        stop = self.loop.create_task(self.stopping.wait())
+        self._may_serve = self.loop.create_task(self.upgrade.may_serve())
+        await asyncio.wait([stop, self._may_serve], return_when=asyncio.FIRST_COMPLETED)
+        if self._may_serve.done():
+            self.accept()
+            self.states.serving = True
+            if self.config.front_fd is not None:
+                self.upgrade.serve()
+            log.info("started", extra={"node": self.config.name})
+        await stop
+
+    def accept(self) -> None:
+        """Begin to accept clients."""
+        if self.config.listen is not None:
+            found = self.fronts.listen(self.config.listen, self.config.front_fd)
+            log.info("listening", extra={"address": "{}:{}".format(*found)})
+
+    async def drain(self) -> None:
+        """Answer what is owed; what still comes gets a busy reply after a while."""
+        limits = self.config.limits
+        log.info("stopping", extra={"open": len(self.engine.open)})
+        # answers from here on close their connections, unless these go over to a newer process
+        self.states.stop()
+        if not self.states.succeeded:
+            await asyncio.sleep(limits.take_ms / 1000)
+            self.front.taking = False
+            await asyncio.sleep(max(0.0, limits.linger_ms - limits.take_ms) / 1000)
+        # the listening socket stays: the workers' call-backs for what is still open come in there
+        if self.tubes is not None:
+            self.tubes.stop()
+        if self.states.succeeded:  # the newer process may have said so after the signal
+            await self.upgrade.leave()
+        await self.engine.drained()
+        if self.tubes is not None and self.tubes.plain:
+            await asyncio.sleep(limits.linger_ms / 1000)  # for producers to fetch the last answers
+
+    async def close(self) -> None:
+        """Let go of sockets and files."""
+        self.fronts.close()
+        self.admin.close()
+        for task in (self._may_serve, self._tubes_served):
+            if task is not None:
+                task.cancel()
+        for server in self._servers:
+            server.close()
+        await self.pool.follower.stop()
+        if self.store is not None:
+            self.store.close()
+        await self.upgrade.farewell()  # the newer process may now have what this one had
+        log.info("stopped")
+
+    def apply(self, new: Config, hosts: list[Host]) -> None:
+        """Take over from a new configuration what can change in a running node."""
+        if self.tubes is not None and self.store is not None:
+            self.store.load(new, hosts)
+        self.pool.follower.move(new.discovery)
+        logging.getLogger().setLevel(new.log_level.upper())
+
+    # -- as operators see it
+
+    @property
+    def state(self) -> State:
+        """What the node is doing."""
+        return self.states.state
+
+    async def pause(self, paused: bool) -> None:
+        """Empty the node, or take clients again."""
+        self.states.pause(paused)
+        self.upgrade.tell({"kind": "pause", "paused": paused})
+
+    async def ban(self, uid: str, banned: bool) -> bool:
+        """Take a worker out, or put it back; False if nobody has heard of it."""
+        known = self.pool.ban(uid, banned)
+        if known:
+            self.upgrade.tell({"kind": "ban", "uid": uid, "banned": banned})
+        return known
+
+    async def figures(self) -> NodeFigures:
+        """The figures of this process, which is the node."""
+        figures, listed = self.engine.figures, self.pool.listed()
+        return NodeFigures(
+            classes=figures.classes,
+            current=figures.current,
+            cluster_size=len(listed),
+            cluster_unhealthy=len(listed & (self.engine.avoided() | self.pool.banned)),
+            conf_loaded=figures.conf_loaded,
+            conf_invalid=figures.conf_invalid,
+        )
+
+    async def _serve_tubes(self) -> None:
+        assert self.config.beanstalk is not None and self.store is not None
+        if self.upgrade.elder is not None:
+            # guards the store's file and the tubes' ids: they have one owner
+            log.warning("tubes wait for the older process to end")
+            await self.upgrade.alone.wait()
+        self.tubes = front = start_beanstalk(self.config, self.engine, self.clock, self.pool, self.store)
+        where = self.config.beanstalk.listen
+
+        async def listen() -> None:
+            server = await self.loop.create_server(
+                lambda: BeanstalkSocket(self.config.limits, front), *where, backlog=128
+            )
+            self._servers.append(server)
+            for socket in server.sockets:
+                log.info("listening", extra={"address": "{}:{}".format(*socket.getsockname()[:2])})
+
+        await self.upgrade.once_free(listen)
+
+
+def start_beanstalk(
+    config: Config, engine: Engine, clock: Clock, pool: PoolConfig, store: NodeStore
+) -> BeanstalkFront:
+    """The beanstalkd front, its workers in the pool, and what an earlier life left open."""
+    assert config.beanstalk is not None
+    tubes = BeanstalkFront(config, config.beanstalk, engine, clock)
+
+    def inventory_changed(hosts: list[Host]) -> None:
+        entries = tubes.take_inventory(hosts)
+        found: dict[int, Destination] = {w.number: w for w in tubes.workers.values()}
+        pool.take_inventory(entries, found)
+
+    def recovered(job: str, origin: str, answer: Answer) -> None:
+        number = job.rpartition(".")[2]
+        if origin and number.isdigit():  # what came by HTTP has lost its client with the old process
+            tubes.post_answer(int(number), tubes.tubes.get(origin), answer)
+
+    engine.observers.append(store.observe)
+    engine.observers.append(tubes.observe)
+    store.inventory_changed = inventory_changed
+    store.tubes_changed = tubes.take_tubes
+    tubes.reply_deleted = store.answer_fetched
+    tubes.noted = store.note_put
+    store.load(config, inventory.read(config.inventory) if config.inventory else [])
+    store.recover(recovered)
+    return tubes
+
+
+def _told(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        log.error("tubes are not served", exc_info=task.exception())
+
+
+def log_lost_errors(loop: asyncio.AbstractEventLoop) -> None:
+    """Have errors that no task's owner takes in one line of the log."""
+    loop.set_exception_handler(
+        lambda _, context: log.error(str(context.get("message")), exc_info=context.get("exception"))
+    )
+
+
+def hold_sighup(hold: bool) -> None:
+    """Guards a node that starts: a SIGHUP before its handler is there would end it; held, it comes then."""
+    signal.pthread_sigmask(signal.SIG_BLOCK if hold else signal.SIG_UNBLOCK, {signal.SIGHUP})
--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -64,14 +64,8 @@
 POOL_MOST = 128  # workers scored for a key; of a larger fleet a key sees its slice, or scoring costs too much
 ORDERS_KEPT = 2048  # rendezvous orders remembered; beyond it all are worked out afresh
 ASK_AGAIN_SHARE = 0.2  # share of must_ask_in_ms after which a failed subscription is asked for again
-FOREVER = 1e18
-NEVER = -FOREVER
-MASK = (1 << 64) - 1
-ODD = 0x9E3779B97F4A7C15
-
-PROVEN_NOT_RUN = frozenset(
-    (api.OutcomeKind.REFUSED, api.OutcomeKind.NO_CONNECTION, api.OutcomeKind.NOT_SENT)
-)
+FOREVER, NEVER = 1e18, -1e18
+MASK, ODD = (1 << 64) - 1, 0x9E3779B97F4A7C15
 
 
 def mix(number: int) -> int:
@@ -113,6 +107,8 @@
     full_until: float = NEVER
     cold_turn: int = -1
     cold_spent: float = 0.0
+    cold_most: float = 0.0  # that may be spent in the turn; 0 once it is warm
+    others: float = 0.0  # slots that other dispatchers of this node fill
 
 
 @dataclass(slots=True, eq=False)
@@ -284,7 +280,7 @@
         All dispatchers together must not push it over and none hears of the others: in each span of fall_ms
         a few have the turn, by their number, and share what the worker can take, a mean job each or more.
         """
-        s = self.settings
+        s, w.cold_most = self.settings, 0.0
         if w.started_ms <= 0 or now - w.started_ms >= s.cold_ms:
             return FOREVER
         turn = int(now // s.fall_ms)
@@ -296,7 +292,8 @@
             return 0.0
         if w.cold_turn != turn:
             w.cold_turn, w.cold_spent = turn, 0.0
-        return budget / holders - w.cold_spent
+        w.cold_most = budget / holders
+        return w.cold_most - w.cold_spent
 
     def count_sent(self, w: Worker, job: Job, now: float) -> None:
         """A job is on its way."""
@@ -403,9 +400,8 @@
 def in_group(job: Job, anchor: Worker, w: Worker) -> bool:
     """Whether a worker drops repeats of what the anchor may have run."""
     group = job.kind.group
-    if group is api.Group.ALL:
-        return True
-    return w.zone == anchor.zone if group is api.Group.ZONE else w.cell == anchor.cell
+    near = w.zone == anchor.zone if group is api.Group.ZONE else w.cell == anchor.cell
+    return near or group is api.Group.ALL
 
 
 class SignatureIndex:
@@ -492,7 +488,8 @@
         self.unstarted.append(a)
         self.table.count_sent(w, job, now)
         self.signatures.remember(w, job.key)
-        self.actions.append(api.Send(job.id, w.id))
+        cold = (job.work, w.cold_turn, w.cold_most) if w.cold_most else ()
+        self.actions.append(api.Send(job.id, w.id, 0.0, *cold))
 
     def outcome(self, event: api.Outcome, now: float) -> Job | None:
         """Take in the end of an attempt; returns the job if it is still owed an answer."""
@@ -509,7 +506,7 @@
             self.end(job)
         if job.id not in self.jobs:
             return None
-        if event.kind in PROVEN_NOT_RUN:
+        if event.kind in api.PROVEN_NOT_RUN:
             job.suspects.remove(a)
         job.barred.add(a.worker.id)
         return job
@@ -521,10 +518,8 @@
 
     def close(self, job: Job) -> None:
         """Give the final answer that is owed: refused where that is true, failed otherwise."""
-        if self.may_refuse(job):
-            self.actions.append(api.Refuse(job.id, self.settings.max_retry_after_ms))
-        else:
-            self.actions.append(api.Fail(job.id))
+        refusal = api.Refuse(job.id, self.settings.max_retry_after_ms)
+        self.actions.append(refusal if self.may_refuse(job) else api.Fail(job.id))
         self.end(job)
 
     def end(self, job: Job) -> None:
@@ -549,10 +544,6 @@
         job.retry_at, job.retry_ms, job.rounds, job.awaited = now, RETRY_MS, 0, 0
         self.jobs[job.id] = job
 
-    def drop(self, job: Job) -> None:
-        """Take a job out of the queue."""
-        self.jobs.pop(job.id, None)
-
     def due(self, now: float) -> list[Job]:
         """Jobs that may look for a worker, the head first."""
         jobs = [j for j in self.jobs.values() if j.retry_at <= now]
@@ -590,10 +581,10 @@
             api.ProbeResult: self.on_probe,
             api.Note: self.on_note,
             api.WorkerList: self.on_list,
+            api.Shares: self.on_shares,
             api.ClientGone: self.on_client_gone,
             api.StreamStarted: self.on_stream,
-            api.Timer: lambda event: None,
-            api.PeerMessage: lambda event: None,
+            **dict.fromkeys((api.Timer, api.PeerMessage), lambda event: None),
         }
 
     def step(self, now_ms: float, events: Iterable[api.Event]) -> list[api.Action]:
@@ -607,8 +598,7 @@
             if handler is None:
                 raise TypeError(f"unknown event type: {type(event).__name__}")
             handler(event)
-        if self.wake_at <= now_ms:
-            self.wake_at = FOREVER
+        self.wake_at = self.wake_at if self.wake_at > now_ms else FOREVER
         if not self.watching and now_ms >= self.watch_at:
             self.watching = True  # unasked news counts as told (rule 3): asked for again after a failure
             self.ledger.actions.append(api.WatchList())
@@ -656,7 +646,7 @@
         """Nothing more is owed; it may follow the job's end in the same batch."""
         job = self.ledger.jobs.get(event.job)
         if job is not None:
-            self.held.drop(job)
+            self.held.jobs.pop(job.id, None)
             self.ledger.end(job)
 
     def on_outcome(self, event: api.Outcome) -> None:
@@ -688,7 +678,7 @@
             a.started = True
             if self.now - a.sent_at <= START_LATE_MS:
                 self.table.learn_start(False)
-                if a.worker.filled > a.worker.limit - 1:  # only what was tried is learned
+                if a.worker.filled + a.worker.others > a.worker.limit - 1:  # only what was tried is learned
                     a.worker.limit += 1 / a.worker.limit
 
     def note_late_starts(self) -> None:
@@ -746,12 +736,22 @@
                 job.retry_at = min(job.retry_at, self.now)
         w.waiters.clear()
 
+    def on_shares(self, event: api.Shares) -> None:
+        """What others of this node fill, and what of a cold worker's budget is spent."""
+        for share in event.shares:
+            w = self.table.workers.get(share.worker)
+            if w is not None:
+                w.others = share.slots
+                if share.turn >= w.cold_turn:
+                    spent = w.cold_spent if share.turn == w.cold_turn else 0.0
+                    w.cold_turn, w.cold_spent = share.turn, max(spent, share.spent)
+
     def expire(self) -> None:
         """Answer held jobs whose time is up: an answer that can't be in time only delays others."""
         while self.limits and self.limits[0][0] <= self.now:
             job = heapq.heappop(self.limits)[2]
             if job.id in self.held.jobs and self.now >= job.useful_until:
-                self.held.drop(job)
+                self.held.jobs.pop(job.id, None)
                 self.ledger.close(job)
 
     def place(self) -> None:
@@ -761,7 +761,7 @@
             if in_vain >= TRIES_A_STEP:
                 job.retry_at = self.now + RETRY_MS / 2
             elif w := self.choose(job):
-                self.held.drop(job)
+                self.held.jobs.pop(job.id, None)
                 self.ledger.send(job, w, self.now)
             else:
                 in_vain += 1
@@ -794,7 +794,7 @@
                 continue
             if self.settings.tells_start:
                 # a report is seconds old where it matters most; late starts tell of a full worker at once
-                room = FOREVER if w.filled + slots <= max(w.limit, slots) else 0.0
+                room = FOREVER if w.filled + w.others + slots <= max(w.limit, slots) else 0.0
             elif w.seen_at >= oldest:
                 room = w.free - w.unseen
             elif may_probe:
@@ -809,7 +809,7 @@
                     break
                 continue
             else:
-                room = FOREVER if w.own < int(w.limit) else 0.0
+                room = FOREVER if w.own + w.others < int(w.limit) else 0.0
             if room < slots or (job.suspects and not self.ledger.may_send(job, w, now)):
                 continue
             if w.memory is not None and job.memory is not None and w.memory < job.memory:
@@ -829,8 +829,7 @@
     def set_wake(self) -> None:
         """Ask for the next wake-up, unless one that is soon enough is out."""
         at = min((j.retry_at for j in self.held.jobs.values()), default=FOREVER)
-        at = min(at, self.limits[0][0] if self.limits else FOREVER)
-        at = at if self.watching else min(at, self.watch_at)
+        at = min(at, *(limit[0] for limit in self.limits[:1]), FOREVER if self.watching else self.watch_at)
         if self.ledger.out and self.settings.tells_start and self.settings.progress_ms > 0:
             at = min(at, self.quiet_at)
         at = max(at, self.now + self.settings.tick_ms)
--- a/spoolpier/interface.py
+++ b/spoolpier/interface.py
@@ -60,6 +60,9 @@
     UNKNOWN = 8  # anything the adapter cannot name: the job may have run
 
 
+PROVEN_NOT_RUN = frozenset((OutcomeKind.REFUSED, OutcomeKind.NO_CONNECTION, OutcomeKind.NOT_SENT))
+
+
 class Progress(IntEnum):
     """What a note on a running attempt says."""
 
@@ -219,6 +222,27 @@
     report: Report | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Share:
+    """What dispatchers that are one node with this one do at a worker. A later one takes its place.
+
+    Slots they fill; and of the budget of a cold worker, for one turn (see Send), the work that all have
+    spent, this dispatcher included.
+    """
+
+    worker: int
+    slots: float = 0.0
+    turn: int = -1
+    spent: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """News of the dispatchers that are one node with this one; what is not named is as before."""
+
+    shares: tuple[Share, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ClientGone:
     """The client has left: nothing more is owed for the job."""
@@ -242,17 +266,33 @@
 
 
 Event = (
-    WorkerList | Arrival | Outcome | Note | StreamStarted | ProbeResult | ClientGone | Timer | PeerMessage
+    WorkerList
+    | Arrival
+    | Outcome
+    | Note
+    | StreamStarted
+    | ProbeResult
+    | Shares
+    | ClientGone
+    | Timer
+    | PeerMessage
 )
 
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Begin an attempt. Attempts of a job count 0, 1, 2 ... in this order. timeout_ms 0: the client's."""
+    """Begin an attempt. Attempts of a job count 0, 1, 2 ... in this order. timeout_ms 0: the client's.
+
+    To a cold worker: the work that it spends, in ms on one slot, the turn (spans of fall_ms, counted from the
+    epoch) and the most that all dispatchers of one node may spend in it. `most` 0: the worker is warm.
+    """
 
     job: str
     worker: int
     timeout_ms: float = 0.0
+    work: float = 0.0
+    turn: int = -1
+    most: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
