--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -70,6 +70,7 @@
     store_key_bytes: int = 64
     journal_lines: int = 50_000  # in the store's file before it is written anew
     repair_datagrams: int = 16  # at most, for one digest
+    core_deaths: int = 5  # of one core within core_deaths_ms end the node
     # times
     answer_margin_ms: float = 25.0  # a final answer is decided this long before the client gives up
     busy_retry_ms: float = 500.0
@@ -104,6 +105,9 @@
     digest_ms: float = 5000.0  # between digests of the store to the peers; none while it is empty
     forget_ms: float = 600_000.0  # removed entries are remembered for this long
     finished_ms: float = 60_000.0  # states of answered operations are kept for this long
+    core_deaths_ms: float = 60_000.0
+    core_again_ms: float = 100.0  # until a core that has died starts again, doubled with each death up to
+    core_again_most_ms: float = 5000.0
 
 
 @dataclass(frozen=True)
@@ -251,7 +255,7 @@
     """
     values: dict[str, Any] = {}
     machine = table_of(config.get("limits", {}), "limits")
-    sockets = int(amount(machine.get("sockets", 1024), "limits.sockets"))
+    sockets = int(amount(machine.get("sockets", 1024 * processes), "limits.sockets"))
     if sockets < 64:
         raise ConfigError(f"limits.sockets: at least 64 are needed, not {sockets}")
     if processes > 1:
@@ -269,7 +273,7 @@
     values["admin_sockets"] = max(6, sockets * 4 // 100)
     values["spare_sockets"] = max(2, sockets * 4 // 100 if "beanstalk" not in config else sockets * 2 // 100)
     # the program itself takes about 20 MB; of the rest, half may be bodies, a sixth what is being read
-    memory = amount(machine.get("memory_mb", 192), "limits.memory_mb")
+    memory = amount(machine.get("memory_mb", 192 * processes), "limits.memory_mb")
     if memory < 24:
         raise ConfigError(f"limits.memory_mb: at least 24 are needed, not {memory:g}")
     if processes > 1:
--- a/pebbledrift/cores/core.py
+++ b/pebbledrift/cores/core.py
@@ -157,6 +157,7 @@
                     news, self._parts = json.loads(self._parts), b""
                     self.pool.follower.heard |= not fields["cached"]
                     self.pool.take(news, cached=bool(fields["cached"]))
+                    self._publish()  # STATUS must not say no once /-/ready says yes
             case "ban":
                 uid, banned = str(fields["uid"]), bool(fields["banned"])
                 known = self.pool.ban(uid, banned)
--- a/pebbledrift/cores/directory.py
+++ b/pebbledrift/cores/directory.py
@@ -48,8 +48,8 @@
         self._cells: dict[str, int] = {}  # own ids, by their place
         self._buried: OrderedDict[int, None] = OrderedDict()  # cells of the process before this one
         first = self._first(core, 0)
-        for at in range(first, first + BUCKETS * BUCKET):
-            if self.words[at]:
+        for at, word in enumerate(self.words[first : first + BUCKETS * BUCKET].tolist(), first):
+            if word:
                 self._buried[at] = None
 
     def claim(self, job: str) -> Claim:
@@ -153,6 +153,8 @@
     first = region.layout.cells + core * BUCKETS * BUCKET
     lost = 0
     for at, word in enumerate(region.words[first : first + BUCKETS * BUCKET].tolist(), first):
+        if not word:
+            continue
         if word & 3 == CLAIMING:
             region.words[at] = EMPTY
         elif word & 3 == OWNED:
--- a/pebbledrift/cores/plan.py
+++ b/pebbledrift/cores/plan.py
@@ -7,29 +7,28 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from pebbledrift.config import Config
+from pebbledrift.config import Config, Limits
 
-DEATHS = 5  # so many of one core within
-DEATHS_S = 60.0  # this time end the node
-FIRST_S = 0.1  # until a core that has died starts again, doubled with each death in that time
 STALE_S = 0.4  # a core that has not shown itself for so long is stopped, or has far too much to do
 UNTAKEN = 24  # connections that one core has been passed and has not taken
 
 
 class Revival:
-    """When a core that has died is started again. Times in seconds, of any clock that only advances."""
+    """When a core that has died is started again. Times in ms, of any clock that only advances."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: Limits) -> None:
+        self.limits = limits
         self._deaths: deque[float] = deque()
 
     def died(self, now: float) -> float | None:
         """How long to wait before the next start; None: it has died too often, the node ends."""
         self._deaths.append(now)
-        while self._deaths[0] <= now - DEATHS_S:
+        while self._deaths[0] <= now - self.limits.core_deaths_ms:
             self._deaths.popleft()
-        if len(self._deaths) >= DEATHS:
+        if len(self._deaths) >= self.limits.core_deaths:
             return None
-        return FIRST_S * 2.0 ** (len(self._deaths) - 1)
+        doublings = min(len(self._deaths) - 1, 20)
+        return min(self.limits.core_again_ms * 2.0**doublings, self.limits.core_again_most_ms)
 
 
 @dataclass(slots=True)
--- a/pebbledrift/cores/supervisor.py
+++ b/pebbledrift/cores/supervisor.py
@@ -22,7 +22,7 @@
 from typing import Any
 
 from pebbledrift import inventory
-from pebbledrift.config import Config
+from pebbledrift.config import Config, Limits
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.figures import ClassFigures, Figures
 from pebbledrift.core.states import NodeStates, State
@@ -55,9 +55,9 @@
 class Core:
     """The supervisor's side of one core: its process, and what is under way to it."""
 
-    def __init__(self, number: int) -> None:
+    def __init__(self, number: int, limits: Limits) -> None:
         self.number = number
-        self.revival = Revival()
+        self.revival = Revival(limits)
         self.process: subprocess.Popen[bytes] | None = None
         self.link: Link | None = None
         self.met = False  # it serves
@@ -76,7 +76,7 @@
         self.loop = asyncio.get_running_loop()
         self.clock = Clock()
         self.layout = Layout(config.cores.processes, len(config.classes))
-        self.cores = [Core(number) for number in range(config.cores.processes)]
+        self.cores = [Core(number, config.limits) for number in range(config.cores.processes)]
         self.roster = Roster()
         self.bans: set[str] = set()
         self.follower = Follower(config.limits, config.seed, config.discovery, self._news)
@@ -91,6 +91,8 @@
         self.mail: list[tuple[socket.socket, socket.socket]] = []
         self.stopping = asyncio.Event()
         self.failed: asyncio.Future[int] = self.loop.create_future()  # the node ends: its exit code
+        self.deaths = 0
+        self.passed_on = 0  # call-backs, by cores that have died
         self._begun = False
         self._numbers = 0
         self._pause: asyncio.TimerHandle | None = None
@@ -234,13 +236,13 @@
             core.drained = True
             return
         log.error("a core has died", extra={"died": core.number, "code": code, "lost": lost})
-        wait = core.revival.died(self.loop.time())
+        wait = core.revival.died(self.loop.time() * 1000)
         if wait is None or (code == 2 and not self._begun):
             if wait is None:
                 log.error("a core dies again and again: the node ends", extra={"died": core.number})
             self._fail(2 if code == 2 else 1)
         else:
-            self.loop.call_later(wait, self._revive, core)
+            self.loop.call_later(wait / 1000, self._revive, core)
 
     def _bury(self, core: Core) -> int:
         """Keep of a dead core what must outlive it; returns how many of its ids were open or kept."""
@@ -250,11 +252,10 @@
         longest = max(k.deadline_ms for k in self.config.settings.classes) / 1000
         self.loop.call_later(longest, self.board.release, core.number, ghosts)
         block = self.blocks[core.number]
-        for past, counted in zip(self.counted.classes, block.read().classes, strict=True):
-            past.served += counted.served
-            past.refused += counted.refused
-            past.failed += counted.failed
-            past.sends += counted.sends
+        last = block.read()
+        _add(self.counted.classes, last)
+        self.passed_on += last.posted
+        self.deaths += not self.states.stopping
         block.clear()
         core.passed.clear()
         for call in core.calls.values():
@@ -447,6 +448,11 @@
             cluster_unhealthy=len(listed & out) + told[0].extra_unhealthy,
             conf_loaded=self.counted.conf_loaded,
             conf_invalid=self.counted.conf_invalid,
+            more={
+                "cores": f"{sum(core.met for core in self.cores)}|g",
+                "cores_died": f"{self.deaths}|c",
+                "passed_on": f"{self.passed_on + sum(core.posted for core in told)}|c",
+            },
         )
 
     async def _ask_all(self, fields: Fields, must: bool = True) -> bool:
--- a/pebbledrift/fronts/admin.py
+++ b/pebbledrift/fronts/admin.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from pebbledrift.core.figures import ClassFigures
@@ -23,6 +23,7 @@
     cluster_unhealthy: int
     conf_loaded: int
     conf_invalid: int
+    more: Mapping[str, str] = field(default_factory=dict)  # of nodes with several cores, as they are written
 
 
 class NotObeyed(Exception):
@@ -106,4 +107,5 @@
         lines.append(f"svc.cluster_unhealthy:{figures.cluster_unhealthy}|g")
         lines.append(f"svc.conf_loaded:{figures.conf_loaded}|c")
         lines.append(f"svc.conf_invalid:{figures.conf_invalid}|c")
+        lines += [f"svc.{name}:{value}" for name, value in figures.more.items()]
         return "\n".join([*lines, "EOT"])
