--- /dev/null
+++ b/pebbledrift/membership/group.py
@@ -0,0 +1,423 @@
+"""Who is alive: SWIM's failure detector and its dissemination, without I/O.
+
+After Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
+Protocol" (2002), with the local health of Dadgar, Phillips and Currey, "Lifeguard" (2018): a member that was
+itself slow gives others more time before it accuses them.
+
+In each period a member pings one other, in a shuffled round. Without an answer it asks a few others to ping
+it; without theirs by the period's end it suspects it and says so. A suspicion that is not refuted in time
+becomes a death. News rides on pings and acks, each piece a bounded number of times, the least told first, so
+that traffic for each member does not grow with the group.
+
+A claim about a member is (incarnation, state); of two the greater holds, and at the same incarnation the
+worse state. Only a member itself raises its incarnation: to refute what is said of it, or when it starts
+again and hears of its earlier life. Incarnations never go back. Time is a number of milliseconds of a clock
+of the caller's that never goes back; no other clock is used.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+import struct
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from enum import IntEnum
+
+Address = tuple[str, int]
+
+
+class State(IntEnum):
+    """What is claimed of a member; the greater is the worse."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3  # by its own word
+
+
+class Kind(IntEnum):
+    """What a message is."""
+
+    PING = 1
+    ACK = 2
+    PING_FOR = 3  # ping somebody for me
+    PULL = 4  # tell me your members, in order of name, from this number on
+    PART = 5  # some of them; where the next part begins, or END
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """What is said of one member."""
+
+    name: str
+    address: Address
+    incarnation: int
+    state: State
+    life: int = 0  # a tag of 16 bits, to tell a name's lives apart
+
+    def beats(self, other: Claim) -> bool:
+        """Whether this claim takes the other's place."""
+        return (self.incarnation, self.state) > (other.incarnation, other.state)
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """One message. `number` ties an ack to its ping; `target` is whom to ping for the sender."""
+
+    kind: Kind
+    number: int
+    target: str = ""
+    claims: tuple[Claim, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Times:
+    """The protocol's times in ms, and its counts."""
+
+    period: float = 500.0
+    ping: float = 150.0  # until others are asked to ping
+    helpers: int = 3
+    suspicion: float = 3.0  # periods, times the group's logarithm, until a suspicion is a death
+    retell: float = 6.0  # times that a piece of news is sent, times the group's logarithm
+    health_most: int = 4  # a member that is slow itself multiplies its times by up to one more
+    forget: float = 60_000.0  # the dead are remembered for so long, so that old news does not wake them
+    pull: float = 2000.0  # between looks at a part of another's members
+    members_most: int = 2000
+    late: float = 1000.0  # a clock that jumps by more between two ticks: this member itself was stopped
+
+
+END = 0xFFFF  # of a pull: there is no further part
+IN_A_PART = 6  # claims that find room whatever the names
+
+
+class BadMessage(ValueError):
+    """Bytes that are no message."""
+
+
+_HEAD = struct.Struct("!BHB")  # kind, number, length of the target's name
+_CLAIM = struct.Struct("!BIHB4sH")  # state, incarnation, life, length of the name, address
+
+
+def pack(message: Message, most: int) -> tuple[bytes, int]:
+    """The message in at most so many bytes, and how many of its claims found room."""
+    target = message.target.encode()
+    data = _HEAD.pack(message.kind, message.number, len(target)) + target
+    told = 0
+    for claim in message.claims:
+        name = claim.name.encode()
+        ip = bytes(map(int, claim.address[0].split(".")))
+        piece = _CLAIM.pack(claim.state, claim.incarnation, claim.life, len(name), ip, claim.address[1])
+        piece += name
+        if len(data) + len(piece) > most:
+            break
+        data += piece
+        told += 1
+    return data, told
+
+
+def unpack(data: bytes) -> Message:
+    """The message in some bytes; BadMessage where there is none."""
+    try:
+        kind, number, length = _HEAD.unpack_from(data)
+        at = _HEAD.size + length
+        target = data[_HEAD.size : at].decode()
+        claims = []
+        while at < len(data):
+            state, incarnation, life, length, ip, port = _CLAIM.unpack_from(data, at)
+            name = data[at + _CLAIM.size : at + _CLAIM.size + length]
+            at += _CLAIM.size + length
+            if at > len(data) or not name:
+                raise BadMessage("cut short")
+            address = ".".join(map(str, ip)), port
+            claims.append(Claim(name.decode(), address, incarnation, State(state), life))
+        return Message(Kind(kind), number, target, tuple(claims))
+    except (struct.error, UnicodeDecodeError, ValueError) as error:
+        raise BadMessage(str(error)) from error
+
+
+@dataclass(slots=True)
+class Member:
+    """What is held to be true of one member."""
+
+    claim: Claim
+    since: float  # of its state
+    told: int = 0  # how often its claim was sent
+
+
+@dataclass(slots=True)
+class _Probe:
+    """A ping that is out, or one on behalf of another member."""
+
+    target: str
+    sent: float
+    asker: tuple[str, int] | None = None  # who asked, and under which number
+    asked: bool = False  # others have been asked
+
+
+Sends = list[tuple[Address, Message]]
+
+
+class Group:
+    """One member's view. Every call returns what has to be sent; `tick` is due every few dozen ms."""
+
+    def __init__(
+        self, name: str, address: Address, seeds: Iterable[Address], times: Times, seed: int, life: int
+    ) -> None:
+        self.times = times
+        self.me = Claim(name, address, 0, State.ALIVE, life & 0xFFFF)
+        self.members: dict[str, Member] = {}
+        self.seeds = [s for s in seeds if s != address]
+        self.changes: list[Claim] = []  # what has changed since the caller looked; it empties the list
+        self.health = 0  # Lifeguard's multiplier, 0: well
+        self.random = random.Random(seed)
+        self._my_told = 0
+        self._number = 0
+        self._round: list[str] = []
+        self._probes: dict[int, _Probe] = {}
+        self._next = -math.inf
+        self._last = -math.inf
+        self._cursor = 0  # where the next part of another's members begins, for a member that starts
+        self._pulled = -math.inf
+
+    # -- what callers ask
+
+    def alive(self) -> list[str]:
+        """The members that are alive by now, this one included, in order of name."""
+        others = [n for n, m in self.members.items() if m.claim.state is State.ALIVE]
+        return sorted([self.me.name, *others])
+
+    def address_of(self, name: str) -> Address | None:
+        """Where a member is."""
+        member = self.members.get(name)
+        return member.claim.address if member is not None else None
+
+    # -- time
+
+    def tick(self, now: float) -> Sends:
+        """Time has gone on."""
+        times, sends = self.times, Sends()
+        if now - self._last > times.late and self._last > -math.inf:
+            # guards the others: after a stop nobody's silence means anything, and suspicions are old
+            self._probes.clear()
+            self.health = times.health_most
+            for member in self.members.values():
+                if member.claim.state is State.SUSPECT:
+                    member.since = now
+            self._next = now
+        self._last = now
+        stretch = 1 + self.health
+        for number, probe in list(self._probes.items()):
+            age = now - probe.sent
+            if probe.asker is not None:
+                if age > times.period:
+                    del self._probes[number]
+            elif age > times.ping * stretch and not probe.asked:
+                probe.asked = True
+                sends += self._ask_others(number, probe)
+            elif age >= times.period * stretch:
+                del self._probes[number]
+                self.health = min(times.health_most, self.health + 1)
+                self._suspect(probe.target, now)
+        self._age(now)
+        if now >= self._next:
+            self._next = now + times.period * stretch
+            sends += self._begin(now)
+        # news that all of a member's tellers had told already before it came, or that was lost, comes so
+        every = times.period if self._cursor != END else times.pull
+        if now - self._pulled >= every:
+            sends += self._pull(now)
+        return sends
+
+    def _pull(self, now: float) -> Sends:
+        able = [m.claim.address for m in self.members.values() if m.claim.state is State.ALIVE]
+        if not able:
+            return []
+        self._pulled = now
+        if self._cursor == END:
+            cursor = self.random.randrange(0, len(self.members) + 1, IN_A_PART)
+        else:
+            cursor = self._cursor
+        return [(self.random.choice(able), Message(Kind.PULL, cursor))]
+
+    def again(self, address: Address) -> Sends:
+        """Pings that are out to an address, once more: what was sent before the two had met was not taken."""
+        return [
+            (address, self._message(Kind.PING, number))
+            for number, probe in self._probes.items()
+            if self.address_of(probe.target) == address
+        ]
+
+    def _begin(self, now: float) -> Sends:
+        """Ping the next one of the round; without any, knock at a seed."""
+        target = self._pick()
+        if target is None:
+            return [(self.random.choice(self.seeds), self._message(Kind.PING, 0))] if self.seeds else []
+        self._number = self._number % 0xFFFF + 1
+        self._probes[self._number] = _Probe(target, now)
+        sends = [(self.members[target].claim.address, self._message(Kind.PING, self._number))]
+        lost = [s for s in self.seeds if not self._is_up(s)]
+        # guards against halves that hold each other for dead after a cut: they go on knocking
+        if lost:
+            sends.append((self.random.choice(lost), self._message(Kind.PING, 0)))
+        return sends
+
+    def _is_up(self, address: Address) -> bool:
+        up = (State.ALIVE, State.SUSPECT)
+        return any(m.claim.address == address and m.claim.state in up for m in self.members.values())
+
+    def _pick(self) -> str | None:
+        up = (State.ALIVE, State.SUSPECT)
+        while True:
+            while self._round:
+                name = self._round.pop()
+                member = self.members.get(name)
+                if member is not None and member.claim.state in up:
+                    return name
+            self._round = [n for n, m in self.members.items() if m.claim.state in up]
+            self.random.shuffle(self._round)
+            if not self._round:
+                return None
+
+    def _ask_others(self, number: int, probe: _Probe) -> Sends:
+        able = [
+            m.claim.address
+            for n, m in self.members.items()
+            if n != probe.target and m.claim.state is State.ALIVE
+        ]
+        chosen = self.random.sample(able, min(self.times.helpers, len(able)))
+        message = self._message(Kind.PING_FOR, number, probe.target)
+        return [(address, message) for address in chosen]
+
+    def _age(self, now: float) -> None:
+        """Suspicions that were not refuted become deaths; the dead are forgotten in the end."""
+        times = self.times
+        patience = times.suspicion * times.period * self._log() * (1 + self.health)
+        for name, member in list(self.members.items()):
+            state = member.claim.state
+            if state is State.SUSPECT and now - member.since >= patience:
+                self._hold(replace(member.claim, state=State.DEAD), now)
+            elif state >= State.DEAD and now - member.since >= times.forget:
+                del self.members[name]
+
+    def _log(self) -> float:
+        return max(1.0, math.log10(len(self.members) + 1))
+
+    # -- messages
+
+    def received(self, now: float, sender: str, life: int, address: Address, message: Message) -> Sends:
+        """A message of an authenticated member, in its present life, has come."""
+        if sender == self.me.name:
+            return []
+        if sender not in self.members and len(self.members) < self.times.members_most:
+            # whoever speaks is there; whether it is alive is for it to claim
+            self._hold(Claim(sender, address, 0, State.ALIVE, life & 0xFFFF), now)
+        for claim in message.claims:
+            self._hear(claim, now)
+        match message.kind:
+            case Kind.PING:
+                return [(address, self._message(Kind.ACK, message.number, about=sender))]
+            case Kind.ACK:
+                return self._answered(message.number)
+            case Kind.PULL:
+                names = sorted(self.members)
+                part = names[message.number : message.number + IN_A_PART]
+                at = message.number + IN_A_PART
+                claims = tuple(self.members[name].claim for name in part)
+                return [(address, Message(Kind.PART, at if at < len(names) else END, "", claims))]
+            case Kind.PART:
+                if self._cursor == END:
+                    return []
+                self._cursor = message.number
+                self._pulled = now
+                return [(address, Message(Kind.PULL, message.number))] if message.number != END else []
+            case Kind.PING_FOR:
+                member = self.members.get(message.target)
+                if member is None or message.target == self.me.name:
+                    return []
+                self._number = self._number % 0xFFFF + 1
+                self._probes[self._number] = _Probe(message.target, now, (sender, message.number))
+                return [(member.claim.address, self._message(Kind.PING, self._number))]
+
+    def _answered(self, number: int) -> Sends:
+        probe = self._probes.pop(number, None)
+        if probe is None:
+            return []
+        if probe.asker is None:
+            self.health = max(0, self.health - 1)
+            return []
+        asker = self.members.get(probe.asker[0])
+        if asker is None:
+            return []
+        return [(asker.claim.address, self._message(Kind.ACK, probe.asker[1]))]
+
+    def leave(self) -> Sends:
+        """This member goes by its own will: some are told, who tell the others."""
+        self.me = replace(self.me, incarnation=self.me.incarnation + 1, state=State.LEFT)
+        self._my_told = 0
+        up = [m.claim.address for m in self.members.values() if m.claim.state is State.ALIVE]
+        chosen = self.random.sample(up, min(2 * self.times.helpers, len(up)))
+        return [(address, self._message(Kind.PING, 0)) for address in chosen]
+
+    def _message(self, kind: Kind, number: int, target: str = "", about: str = "") -> Message:
+        """A message with the news that were told least; to one that is in doubt, that first."""
+        most = self.times.retell * self._log()
+        news = [m for m in self.members.values() if m.told < most and m.claim.name != about]
+        news.sort(key=lambda m: m.told)
+        first = self.members.get(about)
+        claims = [m.claim for m in news]
+        if first is not None and first.claim.state is not State.ALIVE:
+            claims.insert(0, first.claim)  # it is there: let it refute
+        return Message(kind, number, target, (self.me, *claims))
+
+    def told(self, message: Message, claims: int) -> None:
+        """So many of a message's claims found room in its datagram, and count as told."""
+        for claim in message.claims[:claims]:
+            member = self.members.get(claim.name)
+            if member is not None and member.claim == claim:
+                member.told += 1
+
+    def over(self, name: str, life: int, now: float) -> None:
+        """A member's lives before this one are known to be over, as this one has shown itself."""
+        member = self.members.get(name)
+        if member is not None and member.claim.state < State.DEAD and member.claim.life != life & 0xFFFF:
+            self._hold(replace(member.claim, state=State.DEAD), now)
+
+    # -- claims
+
+    def _suspect(self, name: str, now: float) -> None:
+        member = self.members.get(name)
+        if member is not None and member.claim.state is State.ALIVE:
+            self._hold(replace(member.claim, state=State.SUSPECT), now)
+
+    def _hear(self, claim: Claim, now: float) -> None:
+        if claim.name == self.me.name:
+            self._refute(claim)
+            return
+        member = self.members.get(claim.name)
+        if member is None:
+            if len(self.members) < self.times.members_most:
+                self._hold(claim, now)
+        elif claim.beats(member.claim):
+            self._hold(claim, now)
+
+    def _refute(self, claim: Claim) -> None:
+        """What others say of this member, or an earlier life of it has said, is not the last word."""
+        if self.me.state is State.LEFT:
+            return
+        same = claim.address == self.me.address and claim.life == self.me.life
+        if claim.beats(self.me) or (claim.incarnation == self.me.incarnation and not same):
+            if claim.state is State.SUSPECT and same:
+                self.health = min(self.times.health_most, self.health + 1)  # it was too slow for somebody
+            self.me = replace(self.me, incarnation=claim.incarnation + 1)
+
+    def _hold(self, claim: Claim, now: float) -> None:
+        known = self.members.get(claim.name)
+        self.members[claim.name] = Member(claim, now)
+        if known is None or _shows(known.claim) != _shows(claim):
+            self.changes.append(claim)
+
+
+def _shows(claim: Claim) -> tuple[State, Address, int]:
+    """What of a claim callers see a change of."""
+    return claim.state, claim.address, claim.life
--- a/pebbledrift/pool.py
+++ b/pebbledrift/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 import logging
 from collections.abc import Mapping
@@ -27,6 +28,12 @@
 
 def worker_number(uid: str) -> int:
     """The module's number of a worker: the same on every node, whatever order they hear of it in."""
+    # guards memory: what call-backs name is kept only where it can be a worker's name
+    return _remembered(uid) if len(uid) <= 64 else _remembered.__wrapped__(uid)
+
+
+@functools.lru_cache(maxsize=4096)
+def _remembered(uid: str) -> int:
     return int.from_bytes(hashlib.blake2b(uid.encode(), digest_size=8).digest(), "big")
 
 
