--- a/pebbledrift/membership/endpoint.py
+++ b/pebbledrift/membership/endpoint.py
@@ -27,6 +27,9 @@
         self.sealer = sealer
         self.dropped = 0  # datagrams that were forged, recorded or malformed
         self.why: Callable[[Address, str], None] = lambda address, reason: None
+        # what else members tell one another, by its form; told of the sender's name and the body
+        self.others: dict[bytes, Callable[[float, str, bytes], None]] = {}
+        self.heard: Callable[[float], None] = lambda now: None  # a member has spoken
         self._second, self._challenged = -math.inf, 0
 
     def tick(self, now: float) -> Datagrams:
@@ -37,6 +40,11 @@
         """The member goes by its own will."""
         return self._sealed(self.group.leave())
 
+    def tell(self, form: bytes, body: bytes, names: list[str]) -> Datagrams:
+        """Something else, for some members."""
+        places = [self.group.address_of(name) for name in names]
+        return [(place, self.sealer.seal(form + body)) for place in places if place is not None]
+
     def datagram(self, now: float, data: bytes, sender: Address) -> Datagrams:
         """A datagram has come; what is not genuine changes nothing."""
         try:
@@ -52,7 +60,7 @@
                 if self.sealer.peers[opened.name].retired:
                     self.group.over(opened.name, opened.life, now)
                 return self._sealed(self.group.again(sender))
-            if form != GROUP:
+            if form != GROUP and form not in self.others:
                 raise BadMessage("not of a known form")
             if not opened.fresh:
                 # guards against a flood of recordings that would each be asked for a proof
@@ -62,6 +70,10 @@
                 if self._challenged > CHALLENGES:
                     return []
                 return [(sender, self.sealer.seal(CHALLENGE + self.sealer.challenge(opened)))]
+            self.heard(now)
+            if form != GROUP:
+                self.others[form](now, opened.name, body)
+                return []
             return self._sealed(self.group.received(now, opened.name, opened.life, sender, unpack(body)))
         except (Forged, BadMessage) as error:
             self.dropped += 1
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,6 +9,7 @@
 import unittest
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 from pebbledrift import inventory
 from pebbledrift.config import Config, ConfigError, load
@@ -87,6 +88,8 @@
             load({})
 
     def test_the_operators_file_and_its_inventory_are_in_order(self) -> None:
+        with mock.patch("os.sched_getaffinity", return_value=set(range(4))):
+            self.assertEqual(load({}, str(DEPLOY / "cores.toml")).cores.processes, 4)
         found = load({}, str(DEPLOY / "beanstalk.toml"))
         self.assertIsNotNone(found.beanstalk)
         hosts = {h.name: h for h in inventory.read(found.inventory)}
