--- a/pebbledrift/membership/endpoint.py
+++ b/pebbledrift/membership/endpoint.py
@@ -14,7 +14,7 @@
 
 GROUP, CHALLENGE, PROOF = b"g", b"c", b"p"
 DATAGRAM = 256  # bytes at most
-CHALLENGES = 50  # a second, to lives that are not known
+CHALLENGES = 500  # a second, to lives that are not known
 
 Datagrams = list[tuple[Address, bytes]]
 
--- a/pebbledrift/membership/group.py
+++ b/pebbledrift/membership/group.py
@@ -78,7 +78,7 @@
     period: float = 500.0
     ping: float = 150.0  # until others are asked to ping
     helpers: int = 3
-    suspicion: float = 3.0  # periods, times the group's logarithm, until a suspicion is a death
+    suspicion: float = 10.0  # periods, times the group's logarithm, until a suspicion is a death
     retell: float = 6.0  # times that a piece of news is sent, times the group's logarithm
     health_most: int = 4  # a member that is slow itself multiplies its times by up to one more
     forget: float = 60_000.0  # the dead are remembered for so long, so that old news does not wake them
@@ -215,6 +215,9 @@
             elif age > times.ping * stretch and not probe.asked:
                 probe.asked = True
                 sends += self._ask_others(number, probe)
+                place = self.address_of(probe.target)
+                if place is not None:  # losses come in bursts: once more oneself
+                    sends.append((place, self._message(Kind.PING, number)))
             elif age >= times.period * stretch:
                 del self._probes[number]
                 self.health = min(times.health_most, self.health + 1)
@@ -256,6 +259,11 @@
         self._number = self._number % 0xFFFF + 1
         self._probes[self._number] = _Probe(target, now)
         sends = [(self.members[target].claim.address, self._message(Kind.PING, self._number))]
+        # guards against false deaths: whoever is in doubt hears of it from all who doubt, until it refutes
+        doubted = [n for n, m in self.members.items() if m.claim.state is State.SUSPECT and n != target]
+        if doubted:
+            name = self.random.choice(doubted)
+            sends.append((self.members[name].claim.address, self._message(Kind.PING, 0, about=name)))
         lost = [s for s in self.seeds if not self._is_up(s)]
         # guards against halves that hold each other for dead after a cut: they go on knocking
         if lost:
@@ -312,8 +320,14 @@
         if sender not in self.members and len(self.members) < self.times.members_most:
             # whoever speaks is there; whether it is alive is for it to claim
             self._hold(Claim(sender, address, 0, State.ALIVE, life & 0xFFFF), now)
+        before = self.me
         for claim in message.claims:
             self._hear(claim, now)
+        # what was refuted is told at once to whoever said it
+        refuted = [(address, self._message(Kind.PING, 0))] if self.me != before else []
+        return refuted + self._reply(now, sender, address, message)
+
+    def _reply(self, now: float, sender: str, address: Address, message: Message) -> Sends:
         match message.kind:
             case Kind.PING:
                 return [(address, self._message(Kind.ACK, message.number, about=sender))]
