--- a/bench/load.py
+++ b/bench/load.py
@@ -29,35 +29,13 @@
 import uvloop
 from hdrh.histogram import HdrHistogram
 
+from tests.node import SETTINGS
+
 HISTOGRAM = (1, 60_000_000, 3)  # microseconds, three digits
 KEPT = 4  # keys that a worker's cache holds
 HEAD = re.compile(rb"X-Call-Id: (\S+)", re.I)
 LENGTH = re.compile(rb"content-length: (\d+)", re.I)
 
-SETTINGS: dict[str, Any] = {
-    "balancers": 1,
-    "me": 0,
-    "zone": 0,
-    "zones": ["caxias"],
-    "kinds": ["serie-a"],
-    "period_ms": 4.0,
-    "discovery": "ask",
-    "report": {"how": "answers"},
-    "tenants": [{"name": "acme", "share": 1.0, "quota_rps": 10.0}],
-    "classes": [
-        {
-            "name": "pesagem",
-            "target_ms": 400.0,
-            "deadline_ms": 5000.0,
-            "idempotency": "once",
-            "late_worth": 0.25,
-        }
-    ],
-    "limits": {"try_limit": 4, "cancel": True, "retry_after": True, "max_retry_after_ms": 2000.0},
-    "rules": {"cold_share": 0.12, "cold_ms": 24000.0, "fall_multiple": 4.0, "fall_ms": 1000.0},
-    "family_info": {"tells_start": True},
-}
-
 
 class Worker(asyncio.Protocol):
     """One connection to a stand-in worker; the worker itself is `state`."""
