Discovery is called by turns of the nodes, and a node is ready with the list it knew

Restarts took 7.0 to 8.1 s, 6 of them waiting for discovery (node.py, could_serve). Checked: calls that time out after 2 s are still worked on (answers that do come are 165 ms apart, then nothing for as long as the calls given up on would take): the crowd keeps the service busy with the dead. A back-off to 8 s alone was tried: 5 a second fail, a dozen nodes have their list 5 s before the end. Ruled out: an outage (nodes that kept their watch got all changes). Change: pebbledrift/turns.py gives each node its turn in a round of the common clock (Follower._follow had a jittered pause); a node that restarts serves the list it knew after 0.5 s.

--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -97,9 +97,12 @@
     watch_connect_ms: float = 1000.0
     list_ms: float = 2500.0  # a call for the whole list: calls wait for one another at discovery
     watch_silent_ms: float = 3000.0  # an empty line comes every 2 s
-    watch_retry_ms: float = 200.0
-    watch_retry_most_ms: float = 1000.0
-    ready_without_watch_ms: float = 6000.0
+    watch_retry_ms: float = 100.0  # between two calls at least
+    watch_turn_ms: float = 170.0  # of each node in a round: about what a call takes at a busy discovery
+    watch_at_once_ms: float = 1500.0  # where a round takes no longer, a first call waits for no turn
+    watch_rounds: int = 4  # that a node whose calls fail lets pass, at most
+    ready_without_watch_ms: float = 500.0  # the list known before is served meanwhile
+    ready_above_elder_ms: float = 6000.0  # the same in an upgrade, where the older process serves
     take_ms: float = 600.0  # after SIGTERM operations are taken in for this long: later ones may meet SIGKILL
     linger_ms: float = 1000.0  # and connections stay open on which nothing is owed
     digest_ms: float = 5000.0  # between digests of the store to the peers; none while it is empty
--- a/pebbledrift/cores/supervisor.py
+++ b/pebbledrift/cores/supervisor.py
@@ -80,7 +80,7 @@
         self.cores = [Core(number, config.limits) for number in range(config.cores.processes)]
         self.roster = Roster()
         self.bans: set[str] = set()
-        self.follower = Follower(config.limits, config.seed, config.discovery, self._news)
+        self.follower = Follower(config, self.clock, self._news)
         self.states = NodeStates(self._could_serve)
         self.counted = Figures(len(config.classes))  # of cores that have died; conf_ of the node
         self.admin = LineServer(config.limits, AdminFront(config.classes, self).answer)
--- a/pebbledrift/discovery.py
+++ b/pebbledrift/discovery.py
@@ -5,13 +5,14 @@
 import asyncio
 import json
 import logging
-import random
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
 
-from pebbledrift.config import Address, Limits
+from pebbledrift.config import Address, Config, Limits
+from pebbledrift.core.clock import Clock
 from pebbledrift.net.http import HttpProtocol, Message, request
+from pebbledrift.turns import Turns
 
 log = logging.getLogger(__name__)
 
@@ -21,17 +22,23 @@
 
     def __init__(
         self,
-        limits: Limits,
-        seed: int,
-        discovery: Address | None,
+        config: Config,
+        clock: Clock,
         take: Callable[[Mapping[str, Any]], None],
     ) -> None:
-        self.limits = limits
-        self.discovery = discovery
+        self.limits = limits = config.limits
+        self.clock = clock
+        self.turns = Turns(
+            config.settings.me,
+            config.settings.dispatchers,
+            limits.watch_turn_ms,
+            limits.watch_at_once_ms,
+            limits.watch_rounds,
+        )
+        self.discovery = discovery = config.discovery
         self.take = take
         self.rev: int | None = 0  # None: the whole list has to be asked for
         self.heard = discovery is None
-        self.random = random.Random(seed)
         self._watching: asyncio.Task[None] | None = None
 
     def at(self, news: Mapping[str, Any]) -> None:
@@ -71,19 +78,21 @@
             await asyncio.gather(self._watching, return_exceptions=True)
 
     async def _follow(self, discovery: Address) -> None:
-        limits = self.limits
         host = f"{discovery[0]}:{discovery[1]}"
-        wait = limits.watch_retry_ms
         while True:
-            heard = False
+            await asyncio.sleep(self.turns.wait_ms(self.clock.now_ms()) / 1000)
             try:
                 if self.rev is None:
                     await self._fetch(discovery, host)
                 heard = await self._watch(discovery, host)
             except OSError as error:
                 log.info("discovery out of reach", extra={"error": str(error)})
-            wait = limits.watch_retry_ms if heard else min(2 * wait, limits.watch_retry_most_ms)
-            await asyncio.sleep(wait * self.random.uniform(0.5, 1.0) / 1000)
+                heard = False
+            if heard:
+                self.turns.succeeded()
+            else:
+                self.turns.failed()
+            await asyncio.sleep(self.limits.watch_retry_ms / 1000)  # a watch that ends may end again at once
 
     async def _fetch(self, discovery: Address, host: str) -> None:
         """Take the whole list in, whatever has been told before."""
--- a/pebbledrift/node.py
+++ b/pebbledrift/node.py
@@ -58,7 +58,9 @@
         began = self.clock.now_ms()
 
         def could_serve() -> bool:
-            waited = self.clock.now_ms() - began >= config.limits.ready_without_watch_ms
+            limits, alone = config.limits, config.front_fd is None
+            patience = limits.ready_without_watch_ms if alone else limits.ready_above_elder_ms
+            waited = self.clock.now_ms() - began >= patience
             return self.pool.serves() and (self.pool.follower.heard or waited)
 
         self.states = NodeStates(could_serve)
--- a/pebbledrift/pool.py
+++ b/pebbledrift/pool.py
@@ -59,7 +59,7 @@
         self.bans: set[str] = set()  # uids that operators have taken out, whatever the list says
         self.banned: set[int] = set()  # the same by number
         self.budget = SocketBudget(config.limits)
-        self.follower = Follower(config.limits, config.seed, config.discovery, self.take)
+        self.follower = Follower(config, clock, self.take)
         self.unknown: set[str] = set()
 
     def find(self, worker: int) -> Destination | None:
