Nodes tell each other which slots they fill, and a limit is of all nodes together

At fault: w.limit starts at 1 for each of forty nodes (brain.py, choose and take_list), so that every worker looks free to every node, and all take the same rendezvous homes. Ruled out: discovery (no change of the list before 9 s), the nodes' CPU (0.45 s at most in a second, at the start), the network. Change: pebbledrift/fleet tells fills to the peers, two bytes an entry, gathered over 100 ms; they enter the module as Shares of the whole fleet, and the limit begins with the size in the list.

--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -105,6 +105,9 @@
     ready_above_elder_ms: float = 6000.0  # the same in an upgrade, where the older process serves
     take_ms: float = 600.0  # after SIGTERM operations are taken in for this long: later ones may meet SIGKILL
     linger_ms: float = 1000.0  # and connections stay open on which nothing is owed
+    fills_gather_ms: float = 100.0  # what changes at workers within this goes to the peers in one datagram
+    fills_again_ms: float = 2000.0  # what goes on there is told again after this
+    fills_believed_ms: float = 5000.0  # and forgotten by a peer that has not heard of it for this long
     digest_ms: float = 5000.0  # between digests of the store to the peers; none while it is empty
     forget_ms: float = 600_000.0  # removed entries are remembered for this long
     finished_ms: float = 60_000.0  # states of answered operations are kept for this long
@@ -163,6 +166,7 @@
     discovery: Address | None = None
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
+    peers_all: Address | None = None  # reaches all of them
     known: Mapping[str, Any] = field(default_factory=dict)
     beanstalk: BeanstalkConfig | None = None
     inventory: str = ""
@@ -432,6 +436,7 @@
         discovery=maybe("discovery"),
         peer_listen=maybe("peer_listen"),
         peers=tuple(address(p, f"peers[{i}]") for i, p in enumerate(peers)),
+        peers_all=maybe("peers_all"),
         known=table_of(config.get("known") or {}, "known"),
         beanstalk=read_beanstalk(config, classes, tenants),
         inventory=file("inventory"),
--- a/pebbledrift/core/engine.py
+++ b/pebbledrift/core/engine.py
@@ -22,6 +22,7 @@
     Recipient,
     Verdict,
 )
+from pebbledrift.core.view import avoided
 from spoolpier import Dispatcher
 from spoolpier import interface as api
 from spoolpier.handover import adopt, job_state, learn, learned
@@ -260,7 +261,7 @@
 
     def avoided(self) -> set[int]:
         """Workers that the module leaves alone now."""
-        return self._dispatcher.table.avoided(self.clock.now_ms())
+        return avoided(self._dispatcher.table, self.clock.now_ms())
 
     def closed(self, worker: int) -> bool:
         """Whether the newest word at the node is that nothing new may be sent to a worker."""
@@ -347,7 +348,7 @@
         if self.neighbours is not None:
             shares = self.neighbours.shares()
             if shares:
-                events.insert(0, api.Shares(shares))
+                events.insert(0, api.Shares(shares, self.neighbours.fleet))
 
     def _act(self, action: api.Action, now: float) -> None:
         match action:
--- a/pebbledrift/core/model.py
+++ b/pebbledrift/core/model.py
@@ -84,7 +84,9 @@
 
 
 class Neighbours(Protocol):
-    """The other processes of the same node, as the core sees them (docs/cores.md)."""
+    """The other processes of the same node (docs/cores.md), or the other nodes of the fleet, to the core."""
+
+    fleet: bool  # shares() tells of all nodes
 
     def claim(self, job: str) -> Claim:
         """Make an id this process's own, if it is nobody's. Atomic over all processes."""
--- a/pebbledrift/cores/core.py
+++ b/pebbledrift/cores/core.py
@@ -49,6 +49,8 @@
 class Neighbourhood:
     """The other cores, as the engine sees them (core.model.Neighbours)."""
 
+    fleet = False
+
     def __init__(self, start: Start, region: Region, clock: Clock) -> None:
         cores = start.config.cores
         self.atoms = Atoms(region)
--- /dev/null
+++ b/pebbledrift/fleet/neighbours.py
@@ -0,0 +1,94 @@
+"""The other nodes of the fleet, as the core's neighbours: what they fill, told over the peers' socket."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from pebbledrift.config import Address, Config
+from pebbledrift.core.clock import Clock
+from pebbledrift.core.model import Claim
+from pebbledrift.fleet.fills import FORM, Fills
+from pebbledrift.net.datagrams import PeerSocket
+from spoolpier import interface as api
+
+log = logging.getLogger(__name__)
+
+
+class FleetNeighbours:
+    """core.model.Neighbours of a node of one process: nothing but slots is shared with other nodes."""
+
+    fleet = True
+
+    def __init__(self, config: Config, clock: Clock, known: Callable[[], set[int]]) -> None:
+        limits = config.limits
+        self.limits = limits
+        self.clock = clock
+        self.known = known  # all workers that the list has ever named
+        self.fills = Fills(limits.datagram_bytes, limits.fills_again_ms, limits.fills_believed_ms)
+        self.numbers = {peer: i for i, peer in enumerate(config.peers) if i != config.settings.me}
+        self.all: tuple[Address, ...] = tuple(self.numbers)
+        if config.peers_all is not None:
+            self.all = (config.peers_all,)
+        self.socket: PeerSocket | None = None
+        self._named = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._loop = asyncio.get_running_loop()
+
+    def meet(self, socket: PeerSocket) -> None:
+        """Tell and hear over this socket."""
+        self.socket = socket
+        socket.readers[FORM] = self._received
+
+    def claim(self, job: str) -> Claim:
+        """Ids are each node's own."""
+        return Claim.OWN
+
+    def forget(self, job: str) -> None:
+        """Nothing was claimed."""
+
+    def closed(self, worker: int) -> bool:
+        """Each node has its own list."""
+        return False
+
+    def take_cold(self, worker: int, turn: int, work: float, most: float) -> bool:
+        """The budget of a cold worker is divided by turns; nothing is shared."""
+        return True
+
+    def filled(self, worker: int, slots: float) -> None:
+        """Have it told, together with what else changes shortly."""
+        self.fills.filled(worker, slots)
+        self._tell_in(self.limits.fills_gather_ms)
+
+    def shares(self) -> tuple[api.Share, ...]:
+        """What has changed of what the other nodes fill."""
+        known = self.known()
+        if len(known) != self._named:
+            self.fills.know(known)
+            self._named = len(known)
+        return tuple(api.Share(w, slots) for w, slots in self.fills.news(self.clock.now_ms()))
+
+    def _tell_in(self, delay_ms: float) -> None:
+        if self.socket is None:
+            return
+        if self._timer is not None:
+            if self._timer.when() <= self._loop.time() + delay_ms / 1000:
+                return
+            self._timer.cancel()
+        self._timer = self._loop.call_later(delay_ms / 1000, self._tell)
+
+    def _tell(self) -> None:
+        self._timer = None
+        assert self.socket is not None
+        now = self.clock.now_ms()
+        while (data := self.fills.tell(now)) is not None:
+            for peer in self.all:
+                self.socket.send(data, peer)
+        if self.fills.goes_on:  # told again before the others forget it
+            self._tell_in(self.limits.fills_again_ms)
+
+    def _received(self, data: bytes, peer: Address) -> None:
+        number = self.numbers.get(peer)
+        if number is not None:  # what is sent to all comes back to its sender too
+            self.fills.take(number, data, self.clock.now_ms())
--- a/pebbledrift/net/datagrams.py
+++ b/pebbledrift/net/datagrams.py
@@ -18,7 +18,8 @@
     def __init__(self, limits: Limits, peers: tuple[Address, ...]) -> None:
         self.limits = limits
         self.peers = frozenset(peers)
-        self.received: Callable[[bytes, Address], None] = lambda data, peer: None
+        # by the first byte; ValueError for what cannot be read
+        self.readers: dict[int, Callable[[bytes, Address], None]] = {}
         self.transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -30,7 +31,13 @@
         if peer not in self.peers or len(data) > self.limits.datagram_bytes:
             log.info("datagram dropped", extra={"peer": str(peer), "bytes": len(data)})
             return
-        self.received(data, peer)
+        reader = self.readers.get(data[0]) if data else None
+        try:
+            if reader is None:
+                raise ValueError("of no known kind")
+            reader(data, peer)
+        except (ValueError, RecursionError) as error:
+            log.info("datagram dropped", extra={"peer": str(peer), "reason": str(error)})
 
     def error_received(self, exc: Exception) -> None:
         log.debug("datagram lost", extra={"error": str(exc)})
--- a/pebbledrift/node.py
+++ b/pebbledrift/node.py
@@ -14,6 +14,7 @@
 from pebbledrift.core.engine import Engine
 from pebbledrift.core.model import Answer, Destination, Neighbours
 from pebbledrift.core.states import NodeStates, State
+from pebbledrift.fleet.neighbours import FleetNeighbours
 from pebbledrift.fronts.admin import AdminFront, NodeFigures
 from pebbledrift.fronts.beanstalk import BeanstalkFront
 from pebbledrift.fronts.platform import PlatformFront
@@ -50,6 +51,10 @@
         self.loop = asyncio.get_running_loop()
         self.clock = clock or Clock()
         self.pool = PoolConfig(config, self.clock)
+        self.fleet: FleetNeighbours | None = None
+        # in an upgrade two processes have one number, and each would overwrite what the other tells
+        if neighbours is None and config.peers and config.settings.may_tell and config.front_fd is None:
+            neighbours = self.fleet = FleetNeighbours(config, self.clock, lambda: self.pool.known)
         self.engine = Engine(
             config.settings, config.limits, self.clock, config.seed, self.pool, neighbours
         )
@@ -110,6 +115,8 @@
                 reuse_port=config.front_fd is not None,  # in an upgrade both processes have it
             )
             log.info("peers", extra={"address": "{}:{}".format(*transport.get_extra_info("sockname")[:2])})
+            if self.fleet is not None:
+                self.fleet.meet(peers)
         self.store = NodeStore(config, self.clock, peers)
         if config.front_fd is not None:
             await self.upgrade.meet()
--- a/pebbledrift/store/replica.py
+++ b/pebbledrift/store/replica.py
@@ -91,19 +91,16 @@
         self._digest_later()
 
     def received(self, data: bytes, peer: Address) -> None:
-        """A datagram has come; what cannot be read is dropped."""
-        try:
-            if data[:1] == bytes([DIGEST]):
-                self._repair(unpack_digest(data), peer)
-            else:
-                entry = unpack(data)
-                self.table.check(entry)
-                # guards the clock of versions against a peer far in the future: it would win for ever
-                if entry.version.ms > self.table.now_ms() + self.limits.forget_ms:
-                    raise StoreError(f"{entry.key}: version from the future")
-                self.table.merge(entry)
-        except (ValueError, RecursionError) as error:
-            log.info("datagram dropped", extra={"peer": str(peer), "reason": str(error)})
+        """A datagram has come; ValueError or RecursionError if it cannot be read."""
+        if data[:1] == bytes([DIGEST]):
+            self._repair(unpack_digest(data), peer)
+            return
+        entry = unpack(data)
+        self.table.check(entry)
+        # guards the clock of versions against a peer far in the future: it would win for ever
+        if entry.version.ms > self.table.now_ms() + self.limits.forget_ms:
+            raise StoreError(f"{entry.key}: version from the future")
+        self.table.merge(entry)
 
     def _repair(self, theirs: tuple[int, ...], peer: Address) -> None:
         ours = self.table.digest()
--- a/pebbledrift/store/service.py
+++ b/pebbledrift/store/service.py
@@ -15,7 +15,7 @@
 from pebbledrift.inventory import Host, InventoryError, host
 from pebbledrift.net.datagrams import PeerSocket
 from pebbledrift.store.journal import Journal
-from pebbledrift.store.replica import Replica
+from pebbledrift.store.replica import DIGEST, ENTRY, Replica
 from pebbledrift.store.table import Entry, StoreError, Table
 from spoolpier import interface as api
 
@@ -36,7 +36,8 @@
         if peers is not None:
             others = tuple(a for i, a in enumerate(config.peers) if i != config.settings.me)
             replica = Replica(self.table, config.limits, others, peers, config.seed)
-            peers.received = replica.received
+            for kind in (ENTRY, DIGEST):
+                peers.readers[kind] = replica.received
         self.inventory_changed: Callable[[list[Host]], None] = lambda hosts: None
         self.tubes_changed: Callable[[list[TubeConfig]], None] = lambda tubes: None
         self._due: set[str] = set()
--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -108,7 +108,8 @@
     cold_turn: int = -1
     cold_spent: float = 0.0
     cold_most: float = 0.0  # that may be spent in the turn; 0 once it is warm
-    others: float = 0.0  # slots that other dispatchers of this node fill
+    others: float = 0.0  # slots that other dispatchers fill, as far as that is told
+    size: float = 1.0  # slots it has, by the list
 
 
 @dataclass(slots=True, eq=False)
@@ -166,6 +167,7 @@
         self.slice_bits = 0
         self.orders: dict[tuple[int, int, int], list[Worker]] = {}
         self.salt = mix(settings.me + 1)
+        self.fleet = False  # what all dispatchers fill is told: a limit is of all together
         self.slots_of_kind: dict[int, float] = {}
         self.failing_until = NEVER  # no worker is left alone by a class beyond this
         self.run_ms = RUN_MS
@@ -194,7 +196,9 @@
             if up and (not w.up or e.started_ms != w.started_ms):
                 # a new process, or one that was away: what was known would flood or starve a cold worker
                 w.seen_at = w.full_until = NEVER
-                w.limit, w.unreached, w.suspended_until, w.unseen = 1.0, 0, NEVER, 0.0
+                w.size = max(1.0, e.weight) if self.settings.nominal_weights else 1.0
+                w.limit = w.size if self.fleet else 1.0
+                w.unreached, w.suspended_until, w.unseen = 0, NEVER, 0.0
                 w.strikes.clear()
                 w.failed_until.clear()
                 gone.append(w)
@@ -365,15 +369,6 @@
         pool = self.pool(job.kind.kind, job.hash)
         return sum(now < w.failed_until.get(job.job_class, NEVER) for w in pool) > EXCLUDED_MOST * len(pool)
 
-    def avoided(self, now: float) -> set[int]:
-        """Workers left alone now, by all jobs or by those of a class, as choose() sees it: for people."""
-        up = [w for w in self.workers.values() if w.up]
-        found = {w.id for w in up if w.unreached and now < w.suspended_until}
-        for job_class in range(len(self.settings.classes)):
-            failing = {w.id for w in up if now < w.failed_until.get(job_class, NEVER)}
-            found |= failing if len(failing) <= EXCLUDED_MOST * len(up) else set()
-        return found
-
     def set_quiet(self, a: Attempt, quiet: bool) -> None:
         """The attempt is taken to be over at its worker, or goes on."""
         if a.quiet is not quiet:
@@ -737,7 +732,11 @@
         w.waiters.clear()
 
     def on_shares(self, event: api.Shares) -> None:
-        """What others of this node fill, and what of a cold worker's budget is spent."""
+        """What others fill, and what of a cold worker's budget is spent."""
+        if event.fleet and not self.table.fleet:
+            self.table.fleet = True
+            for known in self.table.workers.values():
+                known.limit = max(known.limit, known.size)
         for share in event.shares:
             w = self.table.workers.get(share.worker)
             if w is not None:
--- a/spoolpier/interface.py
+++ b/spoolpier/interface.py
@@ -238,9 +238,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Shares:
-    """News of the dispatchers that are one node with this one; what is not named is as before."""
+    """News of the dispatchers that are one node with this one, or of all that there are (`fleet`).
+
+    What is not named is as before.
+    """
 
     shares: tuple[Share, ...]
+    fleet: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any
 
+from pebbledrift.core.view import avoided as avoided_by
 from spoolpier import Dispatcher
 from spoolpier import interface as api
 from spoolpier.handover import learn, learned
@@ -48,12 +49,12 @@
         for s in sends(old.step(10.0 + 1000 * i, [job(f"a{i}")])):
             bad = s.worker
             old.step(15.0 + 1000 * i, [outcome(s, api.OutcomeKind.ERROR, done=True)])
-    avoided = old.table.avoided(1100.0)
+    avoided = avoided_by(old.table, 1100.0)
     assert avoided
     same, restarted = started(3), started(3)
     learn(same, told(old))
-    assert same.table.avoided(1100.0) == avoided
+    assert avoided_by(same.table, 1100.0) == avoided
     again = tuple(e for e in entries(3, started_ms=1050.0) if e.worker in avoided)
     restarted.step(1060.0, [api.WorkerList(api.ListForm.DELTA, again)])
     learn(restarted, told(old))
-    assert bad and not restarted.table.avoided(1100.0)
+    assert bad and not avoided_by(restarted.table, 1100.0)
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -1,12 +1,21 @@
-"""What forty nodes do at once: the turns in which they call a service that all share."""
+"""What forty nodes do at once: turns at a service that all share, and what they tell each other."""
 
 from __future__ import annotations
 
+import os
 import random
+import socket
 import unittest
 from itertools import pairwise
 
+from pebbledrift.fleet.fills import FORM, Fills
+from pebbledrift.pool import worker_number
 from pebbledrift.turns import Turns
+from spoolpier import Dispatcher
+from spoolpier import interface as api
+from tests.helpers import job, sends, settings
+from tests.node import SETTINGS as PLATFORM
+from tests.node import WAIT, Discovery, NodeTest, Server, Worker, ask, eventually
 
 
 def turns_of(number: int, nodes: int) -> Turns:
@@ -64,3 +73,184 @@
             turns.failed()
             waits.append(round(turns.wait_ms(0.0) / turns.round_ms))
         self.assertEqual(waits, [1, 2, 4, 4, 4, 4])
+
+
+class Wire:
+    """Datagrams among nodes that fill slots at random: some lost, doubled, late or overtaken."""
+
+    def __init__(self, nodes: int, workers: list[int], seed: int) -> None:
+        self.draw = random.Random(seed)
+        self.workers = workers
+        self.fills = [Fills(256, 2000.0, 5000.0) for _ in range(nodes)]
+        self.truth = [dict.fromkeys(workers, 0.0) for _ in range(nodes)]
+        self.seen = [dict.fromkeys(workers, 0.0) for _ in range(nodes)]
+        self.under_way: list[tuple[float, int, int, bytes]] = []
+        self.bytes = 0
+        self.now = 1.8e12
+        for fills in self.fills:
+            fills.know(workers)
+
+    def step(self, lose: float, change: bool) -> None:
+        """A tenth of a second."""
+        self.now += 100.0
+        for n, fills in enumerate(self.fills):
+            if change and self.draw.random() < 0.7:
+                worker = self.draw.choice(self.workers)
+                slots = -self.truth[n][worker] if self.truth[n][worker] else 1.0
+                self.truth[n][worker] += slots
+                fills.filled(worker, slots)
+            while (data := fills.tell(self.now)) is not None:
+                self.bytes += len(data)
+                for to in range(len(self.fills)):
+                    for _ in range(self.draw.choices((0, 1, 2), (lose, 1 - lose, lose / 2))[0]):
+                        late = self.draw.uniform(2, 40) if self.draw.random() > lose else 400.0
+                        self.under_way.append((self.now + late, n, to, data))
+        due = sorted(d for d in self.under_way if d[0] <= self.now)
+        self.under_way = [d for d in self.under_way if d[0] > self.now]
+        for at, n, to, data in due:
+            if n != to:
+                self.fills[to].take(n, data, at)
+        for n, fills in enumerate(self.fills):
+            self.seen[n].update(dict(fills.news(self.now)))
+
+    def wrong(self) -> int:
+        """Slots that any node believes filled that are not, or the other way round."""
+        sums = {w: sum(t[w] for t in self.truth) for w in self.workers}
+        return sum(
+            abs(self.seen[n][w] - (sums[w] - self.truth[n][w]) > 0.5)
+            for n in range(len(self.fills))
+            for w in self.workers
+        )
+
+
+WORKERS = [worker_number(f"s-{i:08x}") for i in range(20)]
+
+
+class FillsTest(unittest.TestCase):
+    def test_all_believe_the_same_again_once_a_lossy_network_is_quiet(self) -> None:
+        for seed in range(4):
+            wire = Wire(6, WORKERS, seed)
+            for _ in range(60):
+                wire.step(0.3, True)
+            for _ in range(60):  # nothing changes: what goes on is told again, what is not is forgotten
+                wire.step(0.0, False)
+            self.assertEqual(wire.wrong(), 0)
+
+    def test_a_node_that_dies_is_forgotten_and_one_without_jobs_is_silent(self) -> None:
+        wire = Wire(2, WORKERS, 1)
+        wire.fills[0].filled(WORKERS[0], 2.0)
+        wire.truth[0][WORKERS[0]] = 2.0
+        wire.step(0.0, False)
+        wire.step(0.0, False)
+        self.assertEqual(wire.seen[1][WORKERS[0]], 2.0)
+        told = wire.fills[0]
+        wire.fills[0] = Fills(256, 2000.0, 5000.0)  # a new life, with nothing to tell
+        before = wire.bytes
+        for _ in range(60):
+            wire.step(0.0, False)
+        self.assertEqual((wire.bytes, wire.seen[1][WORKERS[0]]), (before, 0.0))
+        self.assertTrue(told.goes_on)
+
+    def test_what_is_cut_late_overtaken_or_from_the_future_changes_nothing(self) -> None:
+        ours, theirs = Fills(256, 2000.0, 5000.0), Fills(256, 2000.0, 5000.0)
+        ours.know(WORKERS)
+        theirs.filled(WORKERS[0], 3.0)
+        old = theirs.tell(10_000.0)
+        theirs.filled(WORKERS[0], -3.0)
+        new = theirs.tell(10_500.0)
+        assert old is not None and new is not None
+        for data in (b"", b"F", old[:-1], old[:2], b"X" + old[1:]):
+            with self.assertRaises(ValueError):
+                ours.take(1, data, 10_000.0)
+        ours.take(1, old, 16_000.0)  # six seconds on its way
+        ours.take(1, old, 4_000.0)  # a clock that is far ahead
+        ours.take(1, new, 10_500.0)
+        ours.take(1, old, 10_510.0)  # overtaken
+        self.assertEqual(ours.news(10_600.0), [])
+
+    def test_a_datagram_is_bounded_and_what_does_not_fit_follows(self) -> None:
+        fills, other = Fills(64, 2000.0, 5000.0), Fills(64, 2000.0, 5000.0)
+        workers = [worker_number(f"w{i}") for i in range(70)]
+        other.know(workers)
+        for worker in workers:
+            fills.filled(worker, 40.0)  # more than an entry can say
+        found: dict[int, float] = {}
+        while (data := fills.tell(1000.0)) is not None:
+            self.assertLessEqual(len(data), 64)
+            other.take(0, data, 1010.0)
+        found = dict(other.news(1020.0))
+        self.assertEqual(len(found), 70)
+        self.assertGreaterEqual(min(found.values()), 15.0)
+
+
+class SharedLimitTest(unittest.TestCase):
+    def test_a_worker_that_others_fill_is_passed_over_and_a_free_one_takes_its_size(self) -> None:
+        known = settings(dispatchers=40, nominal_weights=True, tells_start=True)
+        d = Dispatcher(known, seed=1)
+        entries = tuple(api.WorkerEntry(worker=w, weight=4.0) for w in range(1, 4))
+        d.step(0, [api.WorkerList(api.ListForm.CACHED, entries)])
+        [alone] = sends(d.step(5, [job("a", key=9)]))
+        [other] = sends(d.step(10, [job("b", key=9)]))
+        self.assertNotEqual(alone.worker, other.worker)  # nobody tells: one slot, then the next worker
+        d = Dispatcher(known, seed=1)
+        full = api.Shares((api.Share(alone.worker, 4.0),), fleet=True)
+        d.step(0, [api.WorkerList(api.ListForm.CACHED, entries), full])
+        sent = [sends(d.step(5 + i, [job(f"j{i}", key=9)]))[0].worker for i in range(4)]
+        self.assertNotIn(alone.worker, sent)
+        d.step(50, [api.Shares((api.Share(alone.worker, 0.0),), fleet=True)])
+        self.assertEqual(sends(d.step(55, [job("last", key=9)]))[0].worker, alone.worker)
+
+
+class PeersTest(NodeTest):
+    def test_nodes_tell_each_other_and_forged_datagrams_do_no_harm(self) -> None:
+        """Two nodes, two workers of one slot: a job held at one node keeps the other off that worker."""
+
+        def hold(worker: Worker, request: Server, job: str) -> None:
+            request.reply(202)
+            worker.call(job, "started")
+
+        workers = [Worker(f"s-{i}", hold) for i in range(2)]
+        discovery = Discovery([{**w.target(), "capacity_hint": 1.0} for w in workers])
+        self.addCleanup(discovery.close)
+        sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(3)]
+        for s in sockets:
+            s.bind(("127.0.0.1", 0))
+        peers = ["{}:{}".format(*s.getsockname()) for s in sockets]
+        for s in sockets[:2]:
+            s.close()
+        told = {**PLATFORM, "balancers": 3, "weights": "rough"}
+        told["limits"] = {**told["limits"], "may_tell": True}
+        nodes = [
+            self.start(
+                listen="127.0.0.1:0",
+                discovery=discovery.address,
+                peer_listen=peers[i],
+                peers=peers,
+                settings={**told, "me": i},
+            )
+            for i in range(2)
+        ]
+        for node in nodes:
+            eventually(lambda node=node: ask(node.address, "GET", "/-/ready")[0] == 200)  # type: ignore[misc]
+        for worker in workers:
+            self.addCleanup(worker.close)
+            worker.node = nodes[0].address
+        answers = [nodes[0].later("one", sid="00aa")]
+        eventually(lambda: any(w.taken for w in workers))
+        [busy] = [w for w in workers if w.taken]
+        [free] = [w for w in workers if w is not busy]
+        news = sockets[2].recv(256)  # the third peer hears it too
+        self.assertEqual((news[0], len(news)), (FORM, 5))
+        for junk in (b"", b"F", news[:4], b"\x00" * 300, os.urandom(200), FORM.to_bytes(1, "big") * 255):
+            for peer in peers[:2]:
+                host, _, port = peer.partition(":")
+                sockets[2].sendto(junk, (host, int(port)))
+        for worker in workers:
+            worker.node = nodes[1].address
+        answers.append(nodes[1].later("two", sid="00aa"))
+        eventually(lambda: bool(free.taken))
+        self.assertEqual(busy.taken, {"one"})
+        for worker, node, name in ((busy, nodes[0], "one"), (free, nodes[1], "two")):
+            worker.node = node.address
+            worker.call(name, "done", result=name)
+        self.assertEqual([a.get(timeout=WAIT)[0] for a in answers], [200, 200])
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -128,7 +128,8 @@
         replica = Replica(t, LIMITS, (), Wire(0).end(("h", 1)), seed=1)
         future = pack(Entry("a", b"1", Version(10**15, 1)))
         for data in (b"", b"D", b"E", b"X" * 50, future, pack(Entry("a", b"1", Version(1, 1)))[:-1]):
-            replica.received(data, ("h", 2))
+            with self.assertRaises(ValueError):
+                replica.received(data, ("h", 2))
         self.assertEqual(t.entries, {})
 
 
