Cold workers are used by the node whose turn it is, and a turn fits long jobs in a large fleet

Change: the least part of a turn grows with the dispatchers, a job looks at the cold workers whose turn is ours behind its homes, and their power follows the speed seen at warm workers of the kind, by three quarters. Pressure went: it weighed reports against unseen sends, which nobody does where starts or fills are told.

--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -105,7 +105,7 @@
     ready_above_elder_ms: float = 6000.0  # the same in an upgrade, where the older process serves
     take_ms: float = 600.0  # after SIGTERM operations are taken in for this long: later ones may meet SIGKILL
     linger_ms: float = 1000.0  # and connections stay open on which nothing is owed
-    fills_gather_ms: float = 100.0  # what changes at workers within this goes to the peers in one datagram
+    fills_gather_ms: float = 200.0  # what changes at workers within this goes to the peers in one datagram
     fills_again_ms: float = 2000.0  # what goes on there is told again after this
     fills_believed_ms: float = 5000.0  # and forgotten by a peer that has not heard of it for this long
     digest_ms: float = 5000.0  # between digests of the store to the peers; none while it is empty
--- a/pebbledrift/fleet/fills.py
+++ b/pebbledrift/fleet/fills.py
@@ -1,9 +1,9 @@
 """Who fills what: each node's slots at each worker, told in few bytes and believed for a short while. No I/O.
 
-A datagram is a form byte, the time of telling (16 bits of 16 ms units, big-endian) and entries of 16 bits:
-twelve of the worker's number, four of the slots that the sender fills there. Entries are absolute and stand
-for `believed_ms`: one that is lost, doubled, cut off or forged bends the choice of a worker for that long and
-nothing else. No rule rests on them.
+A datagram is a form byte, the time of telling (eight bits, in units of 64 ms) and entries of 16 bits,
+big-endian: twelve of the worker's number, four of the slots that the sender fills there. Entries are
+absolute and stand for `believed_ms`: one that is lost, doubled, cut off or forged bends the choice of a
+worker for that long and nothing else. No rule rests on them.
 """
 
 from __future__ import annotations
@@ -12,8 +12,8 @@
 from collections.abc import Iterable
 
 FORM = 0x46  # no kind of the store's datagrams
-HEAD = 3
-UNIT_MS = 16.0  # of the time of telling
+HEAD = 2
+UNIT_MS = 64.0  # of the time of telling, which comes round after 16 s
 NAME_BITS, SLOT_MOST = 12, 15
 
 
@@ -75,7 +75,7 @@
             entries += (name << 4 | slots).to_bytes(2, "big")
         if not entries:
             return None
-        return bytes([FORM]) + (int(now_ms / UNIT_MS) & 0xFFFF).to_bytes(2, "big") + entries
+        return bytes([FORM, int(now_ms / UNIT_MS) & 0xFF]) + entries
 
     # -- what the others fill
 
@@ -90,7 +90,7 @@
         """A peer's datagram; ValueError if it cannot be read. Old and overtaken ones are passed over."""
         if len(data) < HEAD or data[0] != FORM or (len(data) - HEAD) % 2:
             raise ValueError("not what a peer fills")
-        age = ((int(now_ms / UNIT_MS) - int.from_bytes(data[1:HEAD], "big") + 0x8000) & 0xFFFF) - 0x8000
+        age = ((int(now_ms / UNIT_MS) - data[1] + 0x80) & 0xFF) - 0x80
         told_ms = now_ms - age * UNIT_MS
         # guards against news late by seconds, and a clock that is ahead of ours
         if abs(now_ms - told_ms) > self.believed_ms or told_ms < self._latest.get(peer, 0.0) - UNIT_MS:
--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -29,12 +29,7 @@
 TRUST_ANSWER_MS = 1000.0  # the same where reports come only with answers: old news beats none
 REPORT_LAG_MS = 250.0  # a job sent this recently may be missing from a report
 START_LATE_MS = 60.0  # a job that starts this long after its send has waited; networks take less
-LATE_STARTS = 0.3  # share of late starts at which the pressure stays as it is
 LIMIT_STEP = 0.5  # slots off the limit for each late start: two dispatchers that collide give way by half
-PRESSURE_STEP = 0.3  # slots added to the pressure by each late start or refusal, and
-PRESSURE_GROWTH = 0.1  # this share of it: a burst multiplies the jobs that compete for one free slot
-PRESSURE_MOST = 40.0  # slots: some dispatchers' worth of held jobs for one free slot
-PRESSURE_HIGH = 2.0  # slots; from here on a job looks at few workers at a time, as most looks are in vain
 BACKLOG_SHARE = 0.5  # share of the time a reported queue takes to run for which its worker is passed over
 BACKLOG_MOST_MS = 5000.0  # but no longer than this: others stay away as well
 RUN_MS = 500.0  # time from send to outcome before any was seen, and
@@ -59,8 +54,11 @@
 QUIET_PERIODS = 1.65  # periods without a note of progress after which an attempt's answer may be lost
 QUIET_LOOK_MS = 250.0  # between looks for such attempts
 COLD_SAFETY = 0.4  # share of the cold budget used: half for two turns in one window, the rest for hints
-COLD_JOB_MS = 400.0  # least part of the cold budget for each dispatcher that has the turn: a common job
+COLD_JOB_MS = 400.0  # least part of the cold budget for each dispatcher that has the turn: a common job,
+COLD_FEW = 8.0  # and more by as much as there are more dispatchers than this: a long job has to fit too
 SLOT_SPEED = 0.5  # work a slot does in a unit of time on the slowest machine worth listing
+SPEED_SAFETY = 0.75  # share of the speed seen at warm workers of a kind that one of them surely has
+SPEED_PRIOR_MS = 10_000.0  # time at that least speed which counts as seen
 POOL_MOST = 128  # workers scored for a key; of a larger fleet a key sees its slice, or scoring costs too much
 ORDERS_KEPT = 2048  # rendezvous orders remembered; beyond it all are worked out afresh
 ASK_AGAIN_SHARE = 0.2  # share of must_ask_in_ms after which a failed subscription is asked for again
@@ -122,6 +120,7 @@
     sent_at: float
     open: bool = True
     started: bool = False
+    began_at: float = NEVER
     heard_at: float = NEVER  # its last note
     quiet: bool = False  # its answer is taken to be lost: it fills no slot any more
 
@@ -167,13 +166,14 @@
         self.slice_bits = 0
         self.orders: dict[tuple[int, int, int], list[Worker]] = {}
         self.salt = mix(settings.me + 1)
+        self.turn, self.ours = -1, list[Worker]()  # at cold workers
         self.fleet = False  # what all dispatchers fill is told: a limit is of all together
         self.slots_of_kind: dict[int, float] = {}
+        self.ran: dict[int, tuple[float, float]] = {}  # by kind of warm worker: work by hint, and time taken
         self.failing_until = NEVER  # no worker is left alone by a class beyond this
         self.run_ms = RUN_MS
         self.overhead = 0.0  # what a job takes beyond its hint, of late
         self.pace = 1.0  # send-to-outcome time over the hint, of late: machines that others use run slower
-        self.pressure = 0.0  # slots that others fill, unseen, at a worker whose report shows room
         self.trust_ms = TRUST_MS if settings.may_probe else TRUST_ANSWER_MS
 
     def take_list(self, event: api.WorkerList) -> list[Worker]:
@@ -210,6 +210,7 @@
             self.slice_bits += 1
         self.pools.clear()
         self.orders.clear()
+        self.turn = -1
         return gone
 
     def pool(self, kind: int, key_hash: int) -> list[Worker]:
@@ -270,14 +271,6 @@
         if now - w.last_sent > REPORT_LAG_MS:
             w.unseen = 0.0
 
-    def learn_start(self, late: bool) -> None:
-        """Adjust the pressure: a job that waits where a report showed room tells of others' unseen sends."""
-        if late:
-            self.pressure = min(self.pressure * (1 + PRESSURE_GROWTH) + PRESSURE_STEP, PRESSURE_MOST)
-        else:
-            step = PRESSURE_STEP + PRESSURE_GROWTH * self.pressure
-            self.pressure = max(self.pressure - step * LATE_STARTS / (1 - LATE_STARTS), 0.0)
-
     def cold_budget(self, w: Worker, now: float) -> float:
         """Work that a cold worker may still be sent by us in this turn; endless once it is warm.
 
@@ -289,9 +282,11 @@
             return FOREVER
         turn = int(now // s.fall_ms)
         share = s.cold_share + (1 - s.cold_share) * max(0.0, turn * s.fall_ms - w.started_ms) / s.cold_ms
-        power = self.slots_of_kind.get(w.kind, 1.0) * SLOT_SPEED
+        hinted, took = self.ran.get(w.kind, (0.0, 0.0))
+        speed = (hinted * SPEED_SAFETY + SPEED_PRIOR_MS * SLOT_SPEED) / (took + SPEED_PRIOR_MS)
+        power = max(self.slots_of_kind.get(w.kind, 1.0), w.size) * max(speed, SLOT_SPEED)
         budget = COLD_SAFETY * s.fall_multiple * share * power * s.fall_ms
-        holders = max(1, min(s.dispatchers, int(budget / COLD_JOB_MS)))
+        holders = max(1, min(s.dispatchers, int(budget / (COLD_JOB_MS * max(1.0, s.dispatchers / COLD_FEW)))))
         if (s.me - w.hash - turn * holders) % s.dispatchers >= holders:
             return 0.0
         if w.cold_turn != turn:
@@ -299,6 +294,13 @@
         w.cold_most = budget / holders
         return w.cold_most - w.cold_spent
 
+    def cold_ones(self, now: float) -> list[Worker]:
+        """Cold workers at which the turn is ours: no key's order leads there often enough while it is."""
+        if (turn := int(now // self.settings.fall_ms)) != self.turn:
+            self.turn = turn
+            self.ours = [w for w in self.workers.values() if w.up and 0 < self.cold_budget(w, now) < FOREVER]
+        return self.ours
+
     def count_sent(self, w: Worker, job: Job, now: float) -> None:
         """A job is on its way."""
         w.own += 1
@@ -320,6 +322,9 @@
             w.strikes.pop(a.job.job_class, None)
             w.failed_until.pop(a.job.job_class, None)
             if a.job.hint:
+                if a.started and w.started_ms <= 0:
+                    hinted, took = self.ran.get(w.kind, (0.0, 0.0))
+                    self.ran[w.kind] = hinted + a.job.hint, took + now - a.began_at
                 slow = now - a.sent_at > self.pace * a.job.hint
                 self.pace = max(1.0, self.pace + PACE_STEP * (OVERHEAD_AT if slow else OVERHEAD_AT - 1))
             over = now - a.sent_at - (a.job.hint or self.run_ms) > self.overhead
@@ -327,13 +332,11 @@
             self.run_ms += RUN_PART * (now - a.sent_at - self.run_ms)
             if not self.settings.tells_start:
                 w.limit += 1 / w.limit
-                self.learn_start(False)  # nothing else would bring the pressure down again
         elif kind is api.OutcomeKind.REFUSED:
             # a refusal is fast and frees its count: taken as acceptance it would draw more work at once
             w.limit = max(1.0, w.limit / 2)
             w.suspended_until = max(w.suspended_until, now + REFUSED_MS * 2.0**w.refusals)
             w.refusals = min(w.refusals + 1, REFUSED_DOUBLINGS)
-            self.learn_start(True)
         elif kind is api.OutcomeKind.NO_CONNECTION:
             self.suspend(w, now)
         elif kind not in (api.OutcomeKind.CANCELLED, api.OutcomeKind.NOT_SENT):
@@ -670,11 +673,10 @@
             a.heard_at = a.worker.heard_at = self.now
             self.table.set_quiet(a, False)
         if a is not None and not a.started:
-            a.started = True
-            if self.now - a.sent_at <= START_LATE_MS:
-                self.table.learn_start(False)
-                if a.worker.filled + a.worker.others > a.worker.limit - 1:  # only what was tried is learned
-                    a.worker.limit += 1 / a.worker.limit
+            a.started, a.began_at = True, self.now
+            tried = a.worker.filled + a.worker.others > a.worker.limit - 1  # only then is anything learned
+            if tried and self.now - a.sent_at <= START_LATE_MS:
+                a.worker.limit += 1 / a.worker.limit
 
     def note_late_starts(self) -> None:
         """Learn from jobs that have not begun in time; waiting for their start would be to learn too late."""
@@ -682,7 +684,6 @@
         while unstarted and (unstarted[0].started or self.now - unstarted[0].sent_at > START_LATE_MS):
             a = unstarted.popleft()
             if not a.started and a.open and self.settings.tells_start:
-                self.table.learn_start(True)
                 a.worker.limit = max(1.0, a.worker.limit - LIMIT_STEP)
 
     def note_quiet(self) -> None:
@@ -782,10 +783,11 @@
         kind, slots, barred = job.kind.kind, job.slots, job.barred
         oldest = now - table.trust_ms
         job.awaited = 0
-        rounds = PROBE_ROUNDS if table.pressure < PRESSURE_HIGH else 1
         # a worker off the key's homes has to fetch its data: a job goes further only as its slack runs down
         wide = table.most_fail(job, now)
         order = order[: homes + NEAR + int((now - job.arrived) / (SPILL_SHARE * job.slack))]
+        if table.fleet and not job.suspects:
+            order = order + table.cold_ones(now)
         for w in (*matches, *order) if matches else order:
             if now < w.suspended_until or now < w.full_until or w.id in barred or kind not in (-1, w.kind):
                 continue
@@ -797,7 +799,7 @@
             elif w.seen_at >= oldest:
                 room = w.free - w.unseen
             elif may_probe:
-                if job.rounds >= rounds:
+                if job.rounds >= PROBE_ROUNDS:
                     continue  # enough asked for this look
                 if now - w.probe_sent > PROBE_LOST_MS:
                     w.probe_sent = now
@@ -817,9 +819,6 @@
                 continue
             if job.awaited:
                 break  # a worker better for the key has been asked and will answer in a moment
-            # every dispatcher sees the same few workers with room: each takes its chance, not all of them
-            if room < table.pressure and self.random.random() * table.pressure > room:
-                continue
             return w
         if job.awaited:
             job.rounds += 1
--- a/spoolpier/handover.py
+++ b/spoolpier/handover.py
@@ -7,7 +7,7 @@
 from spoolpier import interface as api
 from spoolpier.brain import Attempt, Dispatcher, Job, Worker, mix
 
-FLEET = ("run_ms", "overhead", "pace", "pressure")
+FLEET = ("run_ms", "overhead", "pace")
 WORKER = ("limit", "strikes", "failed_until", "unreached", "suspended_until")
 KEYS_MOST = 400  # the commonest
 
@@ -20,6 +20,7 @@
         "fleet": {name: getattr(table, name) for name in FLEET},
         "failing_until": table.failing_until,
         "slots_of_kind": list(table.slots_of_kind.items()),
+        "ran": [(kind, *ran) for kind, ran in table.ran.items()],
         "workers": [_worker(w) for w in table.workers.values() if w.up],
         "keys": [(k, signatures.counts[k], signatures.seconds.get(k)) for k in keys],
         "total": signatures.total,
@@ -34,6 +35,7 @@
     table.failing_until = float(told["failing_until"])
     # without it a cold worker counts as one of a single slot, and gets a fraction of what it could do
     table.slots_of_kind = {int(kind): float(slots) for kind, slots in told["slots_of_kind"]}
+    table.ran = {int(kind): (float(hinted), float(took)) for kind, hinted, took in told.get("ran", ())}
     for known in told["workers"]:
         worker = table.workers.get(int(known["id"]))
         # one that has started since is another process: what was known of it would be wrong
