A job reaches the whole of a large fleet within its slack, in an order of each node's own

Ruled out: cold, failing or suspended workers (none), stale lists (none changed), a fleet that is full (49 of 133 workers had room). At fault: choose(), whose reach grew by one worker for each fifth of a job's slack, up to 8 of 133, and order(), the same for all nodes, so that all of them filled the same next worker.

Where fills are told, looking further costs nothing: the reach grows fourfold with each fifth of the slack, and beyond a key's first workers each node has an order of its own.

Test: a job finds the only free worker of 120 within its slack (fails before).

--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -22,7 +22,7 @@
 AGE_MS = 400.0  # waiting this long doubles a held job's rank: about one aim, so that none starves
 WALK = 12  # workers looked at in a key's rendezvous order: a dozen all busy means a busy fleet
 NEAR = 2  # workers beyond its homes that a job looks at from the start: the depot has little room
-SPILL_SHARE = 0.2  # share of its slack that a job waits for each further worker beyond its key's homes
+SPILL_SHARE = 0.2  # share of its slack that a job waits for a worker more, or fourfold with fills told
 SHARE_PRIOR = 50.0  # jobs counted beyond those seen, so that the first few do not look like all traffic
 SHARE_JOBS = 400.0  # the share of a key is taken over about this many jobs
 TRUST_MS = 250.0  # a probed report says nothing of a worker's free slots after this
@@ -170,7 +170,6 @@
         self.fleet = False  # what all dispatchers fill is told: a limit is of all together
         self.slots_of_kind: dict[int, float] = {}
         self.ran: dict[int, tuple[float, float]] = {}  # by kind of warm worker: work by hint, and time taken
-        self.failing_until = NEVER  # no worker is left alone by a class beyond this
         self.run_ms = RUN_MS
         self.overhead = 0.0  # what a job takes beyond its hint, of late
         self.pace = 1.0  # send-to-outcome time over the hint, of late: machines that others use run slower
@@ -234,8 +233,11 @@
         if found is None:
             if len(self.orders) >= ORDERS_KEPT:
                 self.orders.clear()
-            found = top(self.pool(job.kind.kind, job.hash), job.hash, max(WALK, homes + WALK // 2))
+            walk = POOL_MOST if self.fleet else max(WALK, homes + WALK // 2)
+            found = top(self.pool(job.kind.kind, job.hash), job.hash, walk)
             found[:homes] = top(found[:homes], job.hash ^ self.salt, homes)
+            if self.fleet:
+                found[homes + NEAR :] = top(found[homes + NEAR :], job.hash ^ self.salt, walk)
             self.orders[key] = found
         return found
 
@@ -361,14 +363,11 @@
         if now >= w.failed_until.get(job_class, NEVER):
             strikes = w.strikes.get(job_class, 0)
             w.limit = 1.0 if strikes else max(1.0, w.limit - LIMIT_STEP)
-            w.failed_until[job_class] = until = now + failing_ms(strikes)
-            self.failing_until = max(self.failing_until, until)
+            w.failed_until[job_class] = now + failing_ms(strikes)
             w.strikes[job_class] = strikes + 1
 
     def most_fail(self, job: Job, now: float) -> bool:
         """Whether most workers have failed this class of late: then that tells nothing of any one of them."""
-        if now >= self.failing_until:
-            return False
         pool = self.pool(job.kind.kind, job.hash)
         return sum(now < w.failed_until.get(job.job_class, NEVER) for w in pool) > EXCLUDED_MOST * len(pool)
 
@@ -736,6 +735,7 @@
         """What others fill, and what of a cold worker's budget is spent."""
         if event.fleet and not self.table.fleet:
             self.table.fleet = True
+            self.table.orders.clear()
             for known in self.table.workers.values():
                 known.limit = max(known.limit, known.size)
         for share in event.shares:
@@ -785,7 +785,8 @@
         job.awaited = 0
         # a worker off the key's homes has to fetch its data: a job goes further only as its slack runs down
         wide = table.most_fail(job, now)
-        order = order[: homes + NEAR + int((now - job.arrived) / (SPILL_SHARE * job.slack))]
+        spilt = int((now - job.arrived) / (SPILL_SHARE * job.slack))
+        order = order[: homes + NEAR << 2 * min(spilt, 3) if table.fleet else homes + NEAR + spilt]
         if table.fleet and not job.suspects:
             order = order + table.cold_ones(now)
         for w in (*matches, *order) if matches else order:
--- a/spoolpier/handover.py
+++ b/spoolpier/handover.py
@@ -18,7 +18,6 @@
     keys = sorted(signatures.counts, key=lambda k: -signatures.counts[k])[:KEYS_MOST]
     return {
         "fleet": {name: getattr(table, name) for name in FLEET},
-        "failing_until": table.failing_until,
         "slots_of_kind": list(table.slots_of_kind.items()),
         "ran": [(kind, *ran) for kind, ran in table.ran.items()],
         "workers": [_worker(w) for w in table.workers.values() if w.up],
@@ -32,7 +31,6 @@
     table, signatures = dispatcher.table, dispatcher.signatures
     for name in FLEET:
         setattr(table, name, float(told["fleet"][name]))
-    table.failing_until = float(told["failing_until"])
     # without it a cold worker counts as one of a single slot, and gets a fraction of what it could do
     table.slots_of_kind = {int(kind): float(slots) for kind, slots in told["slots_of_kind"]}
     table.ran = {int(kind): (float(hinted), float(took)) for kind, hinted, took in told.get("ran", ())}
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -9,12 +9,14 @@
 from dataclasses import replace
 from itertools import pairwise
 
+from pebbledrift.config import Limits
 from pebbledrift.fleet.fills import FORM, Fills
+from pebbledrift.net.datagrams import PeerSocket
 from pebbledrift.pool import worker_number
 from pebbledrift.turns import Turns
 from spoolpier import Dispatcher
 from spoolpier import interface as api
-from tests.helpers import job, outcome, sends, settings
+from tests.helpers import finals, job, outcome, sends, settings
 from tests.node import SETTINGS as PLATFORM
 from tests.node import WAIT, Discovery, NodeTest, Server, Worker, ask, eventually
 
@@ -204,6 +206,20 @@
         d.step(50, [api.Shares((api.Share(alone.worker, 0.0),), fleet=True)])
         self.assertEqual(sends(d.step(55, [job("last", key=9)]))[0].worker, alone.worker)
 
+    def test_a_job_reaches_the_only_free_worker_of_a_large_fleet_within_its_slack(self) -> None:
+        known = settings(dispatchers=200, nominal_weights=True, tells_start=True)
+        entries = tuple(api.WorkerEntry(worker=w, weight=5.0) for w in range(1, 121))
+        draw = random.Random(3)
+        for free in draw.sample(range(1, 121), 10):
+            d = Dispatcher(known, seed=1)
+            others = tuple(api.Share(w, 5.0) for w in range(1, 121) if w != free)
+            d.step(0, [api.WorkerList(api.ListForm.CACHED, entries), api.Shares(others, fleet=True)])
+            actions = d.step(5, [job("a", key=draw.randrange(1000))])
+            for now in range(10, 600, 5):
+                actions += d.step(now, [])
+            self.assertEqual([s.worker for s in sends(actions)], [free])
+            self.assertEqual(finals(actions), [])
+
 
 class ColdFleetTest(unittest.TestCase):
     """Forty dispatchers, a fleet that is mostly cold, and far more work than its warm part can do."""
