Fills are told within 20 ms, and datagrams of two hundred peers are read together

A hot key's first worker was filled by all nodes before any heard of the others: fills were gathered for 200 ms (fills_gather_ms), five times what the network takes at most (peer_ms, 36). Each node has two jobs a second, so that the wait joined hardly any two entries: it saved no bytes.

At fault: the datagram transport, one read a wake. The news a decision rests on are as new as before.

Test: a crowd of peers wakes the node once, and a step reads the newest (needs no timing).

--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -58,6 +58,7 @@
     admin_sockets: int = 40  # operators' calls
     idle_per_destination: int = 24
     operations: int = 4000
+    peers_batch: int = 256  # peers' datagrams read at once: about what the kernel's queue holds
     recent: int = 4096  # ids answered lately
     buried_jobs: int = 1000  # kept to be looked at
     reply_jobs: int = 10_000  # answers kept for producers to fetch
@@ -106,7 +107,8 @@
     ready_above_elder_ms: float = 6000.0  # the same in an upgrade, where the older process serves
     take_ms: float = 600.0  # after SIGTERM operations are taken in for this long: later ones may meet SIGKILL
     linger_ms: float = 1000.0  # and connections stay open on which nothing is owed
-    fills_gather_ms: float = 200.0  # what changes at workers within this goes to the peers in one datagram
+    peers_pause_ms: float = 100.0  # once a peer's datagram has woken the node, those after it wait so long
+    fills_gather_ms: float = 20.0  # what changes at workers within this goes to the peers in one datagram
     fills_again_ms: float = 2000.0  # what goes on there is told again after this
     fills_believed_ms: float = 5000.0  # and forgotten by a peer that has not heard of it for this long
     digest_ms: float = 5000.0  # between digests of the store to the peers; none while it is empty
--- a/pebbledrift/fleet/neighbours.py
+++ b/pebbledrift/fleet/neighbours.py
@@ -63,6 +63,8 @@
 
     def shares(self) -> tuple[api.Share, ...]:
         """What has changed of what the other nodes fill."""
+        if self.socket is not None:
+            self.socket.read()  # the module is about to decide
         known = self.known()
         if len(known) != self._named:
             self.fills.know(known)
--- a/pebbledrift/net/datagrams.py
+++ b/pebbledrift/net/datagrams.py
@@ -4,30 +4,91 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
-from typing import cast
 
 from pebbledrift.config import Address, Limits
 
 log = logging.getLogger(__name__)
 
 
-class PeerSocket(asyncio.DatagramProtocol):
-    """The UDP socket at peer_listen."""
+class PeerSocket:
+    """The UDP socket at peer_listen.
+
+    With two hundred peers, to wake for each datagram costs several times what it takes to read it. So once
+    one has come, those after it stay with the kernel for `peers_pause_ms` and are then read together, or as
+    soon as somebody asks for the newest word (`read`). What does not fit the kernel's queue meanwhile is
+    lost, as on the network.
+    """
 
     def __init__(self, limits: Limits, peers: tuple[Address, ...]) -> None:
         self.limits = limits
         self.peers = frozenset(peers)
         # by the first byte; ValueError for what cannot be read
         self.readers: dict[int, Callable[[bytes, Address], None]] = {}
-        self.transport: asyncio.DatagramTransport | None = None
+        self.wakes = 0  # how often the loop was woken for datagrams
+        self._socket: socket.socket | None = None
+        self._loop = asyncio.get_running_loop()
+        self._pause: asyncio.TimerHandle | None = None
+
+    def listen(self, address: Address, shared: bool) -> Address:
+        """Begin to read at an address, which another process may have too; returns it as it is bound."""
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self._socket = end = socket.socket(family, socket.SOCK_DGRAM)
+        end.setblocking(False)
+        if shared:
+            end.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        end.bind(address)
+        self._loop.add_reader(end, self._readable)
+        found = end.getsockname()
+        return found[0], found[1]
+
+    def close(self) -> None:
+        """Read and send no more."""
+        if self._pause is not None:
+            self._pause.cancel()
+        if self._socket is not None:
+            self._loop.remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
+
+    def read(self) -> None:
+        """Take in what has come, up to a bound: what else has happened must not wait for a flood."""
+        for _ in range(self.limits.peers_batch):
+            if self._socket is None:
+                return
+            try:
+                data, addr = self._socket.recvfrom(65536)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                log.debug("datagram lost", extra={"error": str(error)})
+                return
+            self._received(data, (addr[0], addr[1]))
+
+    def send(self, data: bytes, peer: Address) -> None:
+        """Send one datagram, or drop it where it would break the limit: a longer one is a fault of ours."""
+        if len(data) > self.limits.datagram_bytes:
+            log.error("datagram too long", extra={"bytes": len(data)})
+        elif self._socket is not None:
+            try:
+                self._socket.sendto(data, peer)
+            except OSError as error:
+                log.debug("datagram lost", extra={"error": str(error)})
+
+    def _readable(self) -> None:
+        assert self._socket is not None
+        self.wakes += 1
+        self.read()
+        self._loop.remove_reader(self._socket)
+        self._pause = self._loop.call_later(self.limits.peers_pause_ms / 1000, self._go_on)
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        # not to be checked by isinstance: the loop's own transport is no subclass before Python 3.12
-        self.transport = cast(asyncio.DatagramTransport, transport)
+    def _go_on(self) -> None:
+        self._pause = None
+        if self._socket is not None:
+            self._loop.add_reader(self._socket, self._readable)
 
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        peer = (addr[0], addr[1])
+    def _received(self, data: bytes, peer: Address) -> None:
         if peer not in self.peers or len(data) > self.limits.datagram_bytes:
             log.info("datagram dropped", extra={"peer": str(peer), "bytes": len(data)})
             return
@@ -38,13 +99,3 @@
             reader(data, peer)
         except (ValueError, RecursionError) as error:
             log.info("datagram dropped", extra={"peer": str(peer), "reason": str(error)})
-
-    def error_received(self, exc: Exception) -> None:
-        log.debug("datagram lost", extra={"error": str(exc)})
-
-    def send(self, data: bytes, peer: Address) -> None:
-        """Send one datagram, or drop it where it would break the limit: a longer one is a fault of ours."""
-        if len(data) > self.limits.datagram_bytes:
-            log.error("datagram too long", extra={"bytes": len(data)})
-        elif self.transport is not None and not self.transport.is_closing():
-            self.transport.sendto(data, peer)
--- a/pebbledrift/node.py
+++ b/pebbledrift/node.py
@@ -80,6 +80,7 @@
         )
         self.admin = LineServer(config.limits, AdminFront(config.classes, self).answer)
         self.reloader = Reloader(config, read_again, self.apply, self.engine.figures)
+        self.peers: PeerSocket | None = None
         self.store: NodeStore | None = None
         self.tubes: BeanstalkFront | None = None
         self._servers: list[asyncio.Server] = []
@@ -109,12 +110,10 @@
         self.pool.begin(config.known)
         peers = None
         if config.peer_listen is not None and config.peers:
-            transport, peers = await self.loop.create_datagram_endpoint(
-                lambda: PeerSocket(config.limits, config.peers),
-                local_addr=config.peer_listen,
-                reuse_port=config.front_fd is not None,  # in an upgrade both processes have it
-            )
-            log.info("peers", extra={"address": "{}:{}".format(*transport.get_extra_info("sockname")[:2])})
+            self.peers = peers = PeerSocket(config.limits, config.peers)
+            # in an upgrade both processes have it
+            found = peers.listen(config.peer_listen, config.front_fd is not None)
+            log.info("peers", extra={"address": "{}:{}".format(*found)})
             if self.fleet is not None:
                 self.fleet.meet(peers)
         self.store = NodeStore(config, self.clock, peers)
@@ -178,6 +177,8 @@
         for server in self._servers:
             server.close()
         await self.pool.follower.stop()
+        if self.peers is not None:
+            self.peers.close()
         if self.store is not None:
             self.store.close()
         await self.upgrade.farewell()  # the newer process may now have what this one had
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import random
 import socket
@@ -262,6 +263,31 @@
                 self.assertLess(within, 4.0 * share * slowest * 1000.0)
 
 
+class PeerSocketTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_crowd_of_peers_wakes_the_node_seldom_and_a_step_reads_the_newest(self) -> None:
+        ends = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(20)]
+        for end in ends:
+            self.addCleanup(end.close)
+            end.bind(("127.0.0.1", 0))
+        found: list[bytes] = []
+        # a pause that outlasts the test: what comes meanwhile is read only when somebody asks
+        peers = PeerSocket(Limits(peers_pause_ms=60_000.0), tuple(end.getsockname() for end in ends))
+        peers.readers[FORM] = lambda data, peer: found.append(data)
+        where = peers.listen(("127.0.0.1", 0), shared=False)
+        self.addCleanup(peers.close)
+        ends[0].sendto(b"Fa", where)
+        while not found:
+            await asyncio.sleep(0.001)
+        for n in range(200):
+            ends[n % 20].sendto(b"F%d" % n, where)
+        for _ in range(20):
+            await asyncio.sleep(0)
+        self.assertEqual((found, peers.wakes), ([b"Fa"], 1))
+        peers.read()
+        self.assertEqual(found[1:], [b"F%d" % n for n in range(200)])
+        self.assertEqual(peers.wakes, 1)
+
+
 class PeersTest(NodeTest):
     def test_nodes_tell_each_other_and_forged_datagrams_do_no_harm(self) -> None:
         """Two nodes, two workers of one slot: a job held at one node keeps the other off that worker."""
