A job goes again only once its worker has heard that the first copy is given up

An attempt whose notes of progress stop is cancelled and its keyed job goes again.

Ruled out: a send repeated by the connection pool, an id that came twice, an attempt ended by a call-back of its own. At fault: Engine._act, which told the module CANCELLED as it wrote the DELETE.

Now the end of an attempt whose job is still owed an answer is told when its worker has answered the DELETE. If it never does, the attempt stays out and the job fails in time: two copies at once are not a matter of odds.

Test: tests/test_recall.py, the real program with a worker that is slow to hear (fails before).

--- a/pebbledrift/core/engine.py
+++ b/pebbledrift/core/engine.py
@@ -6,6 +6,7 @@
 import heapq
 import logging
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any
 
 from pebbledrift.config import Limits
@@ -36,8 +37,8 @@
     def send(self, attempt: Attempt) -> None:
         """Nothing is ever sent here."""
 
-    def cancel(self, attempt: Attempt) -> None:
-        """It cannot be reached any more."""
+    def cancel(self, attempt: Attempt, heard: Callable[[], None] = lambda: None) -> None:
+        """It cannot be reached any more, and so never hears of it."""
 
     def probe(self) -> None:
         """It cannot be reached any more."""
@@ -358,7 +359,10 @@
                 operation = self.open.get(job)
                 if operation is not None and number < len(operation.attempts):
                     attempt = operation.attempts[number]
-                    if attempt.open:
+                    if attempt.open and operation.answer is None:
+                        # guards against two copies at once: once its end is told, the job may go again
+                        attempt.destination.cancel(attempt, lambda: self._recalled(attempt))
+                    elif attempt.open:
                         attempt.destination.cancel(attempt)
                         self._close_attempt(attempt, api.OutcomeKind.CANCELLED, None)
             case api.Refuse(job, after):
@@ -416,6 +420,11 @@
             return
         destination.send(attempt)
 
+    def _recalled(self, attempt: Attempt) -> None:
+        """The worker has heard that an attempt is given up, whose job is still owed an answer."""
+        if attempt.open:
+            self._close_attempt(attempt, api.OutcomeKind.CANCELLED, None)
+
     def _attempt_timed_out(self, attempt: Attempt) -> None:
         if attempt.open:
             attempt.destination.cancel(attempt)
--- a/pebbledrift/core/model.py
+++ b/pebbledrift/core/model.py
@@ -52,8 +52,8 @@
     def send(self, attempt: Attempt) -> None:
         """Begin an attempt."""
 
-    def cancel(self, attempt: Attempt) -> None:
-        """Give an attempt up; nothing more is reported of it."""
+    def cancel(self, attempt: Attempt, heard: Callable[[], None] = lambda: None) -> None:
+        """Give an attempt up; `heard` is called once its worker is known to have been told, if ever."""
 
     def probe(self) -> None:
         """Ask for the load report."""
--- a/pebbledrift/fronts/beanstalk.py
+++ b/pebbledrift/fronts/beanstalk.py
@@ -98,8 +98,9 @@
         session, _ = self.waiting.popitem(last=False)
         self.front.hand_out(attempt, session)
 
-    def cancel(self, attempt: Attempt) -> None:
+    def cancel(self, attempt: Attempt, heard: Callable[[], None] = lambda: None) -> None:
         self.front.taken_back(attempt)
+        heard()
 
     def probe(self) -> None:
         self.front.engine.probed(self.number, True, 0.0, self.report())
--- a/pebbledrift/net/destinations.py
+++ b/pebbledrift/net/destinations.py
@@ -394,14 +394,20 @@
         patience = self.limits.accept_ms if once else self.limits.accept_again_ms
         self.pool.start(exchange, patience, lambda: self._not_taken(attempt))
 
-    def cancel(self, attempt: Attempt) -> None:
+    def cancel(self, attempt: Attempt, heard: Callable[[], None] = lambda: None) -> None:
         exchange = self.exchanges.pop(attempt, None)
         if exchange is not None:
             exchange.give_up()  # before the 202: closing the connection gives the attempt up
+            heard()
             return
+
+        def answered(message: Message | None, kind: api.OutcomeKind) -> None:
+            if message is not None:
+                heard()
+
         data = request("DELETE", f"/jobs/{attempt.operation.id}", {"Host": self.host})
-        ignored = Exchange(data, lambda message, kind: None)
-        self.pool.start(ignored, self.limits.cancel_ms, ignored.give_up)
+        recall = Exchange(data, answered)
+        self.pool.start(recall, self.limits.cancel_ms, recall.give_up)
 
     def probe(self) -> None:
         began = self.clock.now_ms()
--- /dev/null
+++ b/tests/test_recall.py
@@ -0,0 +1,65 @@
+"""An attempt that is given up while its job is still owed an answer: one copy at a time, whatever is late."""
+
+from __future__ import annotations
+
+import threading
+
+from tests.node import NodeTest, Server, Worker, eventually
+
+
+class SlowToHear(Worker):
+    """Answers a DELETE only when told to."""
+
+    def __init__(self) -> None:
+        super().__init__("s-1", begin)
+        self.may_answer = threading.Event()
+
+    def handle(self, request: Server, body: bytes) -> None:
+        if request.command == "DELETE":
+            self.cancelled.put(request.path.rpartition("/")[2])
+            self.may_answer.wait(20)
+            request.reply(204)
+        else:
+            super().handle(request, body)
+
+
+def begin(worker: Worker, request: Server, job: str) -> None:
+    request.reply(202)
+    if job == "marker":
+        worker.call(job, "done", result=job)
+    else:
+        worker.call(job, "started")
+
+
+def serve(worker: Worker, request: Server, job: str) -> None:
+    request.reply(202)
+    worker.call(job, "done", result=job)
+
+
+class RecallTest(NodeTest):
+    def test_a_job_goes_again_only_once_its_worker_has_heard_of_the_recall(self) -> None:
+        slow, other = SlowToHear(), Worker("s-2", serve)
+        family = {"tells_start": True, "progress_ms": 100.0}
+        node, discovery = self.platform(slow, family_info=family)
+        other.node = node.address
+        self.addCleanup(other.close)
+        answers = [node.later("lively"), node.later("quiet", "fechamento", 20.0)]
+        eventually(lambda: {"lively", "quiet"} <= slow.taken)
+        discovery.change(other.target())
+        given_up: list[str] = []
+
+        def heard_of() -> bool:
+            slow.call("lively", "running", share=0.5)  # the worker lives, and the other job tells of nothing
+            if not slow.cancelled.empty():
+                given_up.append(slow.cancelled.get())
+            return bool(given_up)
+
+        eventually(heard_of)
+        self.assertEqual(given_up, ["quiet"])
+        self.assertEqual(node.job("marker")[::2], (200, b"marker"))  # the module has decided meanwhile
+        self.assertNotIn("quiet", other.taken)
+        slow.may_answer.set()
+        self.assertEqual(answers[1].get(timeout=20)[::2], (200, b"quiet"))
+        self.assertIn("quiet", other.taken)
+        slow.call("lively", "done", result="lively")
+        self.assertEqual(answers[0].get(timeout=20)[0], 200)
