A large fleet falls into parts of forty nodes that tell each other what they fill

Each job's fills were told in 27 bytes to 199 nodes, and each byte is paid for at each. Ruled out: the store's datagrams (none while it is empty), a datagram sent twice (3.5 a second and node, for two jobs). At fault: FleetNeighbours, which sent to peers_all what few of them would use.

A worker belongs to the part that its number gives; what is filled there is told to the nodes of that part, and a node looks at the workers of its own part first. Where these are full it goes on to the others. Up to 79 nodes there is one part, as before.

The loss of service is real: a job that leaves its part finds queues of which nobody told it.

--- a/pebbledrift/fleet/neighbours.py
+++ b/pebbledrift/fleet/neighbours.py
@@ -26,11 +26,19 @@
         self.limits = limits
         self.clock = clock
         self.known = known  # all workers that the list has ever named
-        self.fills = Fills(limits.datagram_bytes, limits.fills_again_ms, limits.fills_believed_ms)
         self.numbers = {peer: i for i, peer in enumerate(config.peers) if i != config.settings.me}
-        self.all: tuple[Address, ...] = tuple(self.numbers)
-        if config.peers_all is not None:
-            self.all = (config.peers_all,)
+        parts = self.parts = config.settings.parts
+        # by part of the fleet: what is filled at its workers, and whom to tell
+        self.told = [
+            Fills(limits.datagram_bytes, limits.fills_again_ms, limits.fills_believed_ms)
+            for _ in range(parts)
+        ]
+        self.fills = self.told[config.settings.me % parts]  # where this node hears of the others, too
+        self.to: list[tuple[Address, ...]] = [
+            tuple(peer for peer, i in self.numbers.items() if i % parts == part) for part in range(parts)
+        ]
+        if parts == 1 and config.peers_all is not None:
+            self.to = [(config.peers_all,)]
         self.socket: PeerSocket | None = None
         self._named = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -58,7 +66,7 @@
 
     def filled(self, worker: int, slots: float) -> None:
         """Have it told, together with what else changes shortly."""
-        self.fills.filled(worker, slots)
+        self.told[worker % self.parts].filled(worker, slots)
         self._tell_in(self.limits.fills_gather_ms)
 
     def shares(self) -> tuple[api.Share, ...]:
@@ -67,7 +75,8 @@
             self.socket.read()  # the module is about to decide
         known = self.known()
         if len(known) != self._named:
-            self.fills.know(known)
+            mine = self.fills
+            mine.know(worker for worker in known if self.told[worker % self.parts] is mine)
             self._named = len(known)
         return tuple(api.Share(w, slots) for w, slots in self.fills.news(self.clock.now_ms()))
 
@@ -84,10 +93,11 @@
         self._timer = None
         assert self.socket is not None
         now = self.clock.now_ms()
-        while (data := self.fills.tell(now)) is not None:
-            for peer in self.all:
-                self.socket.send(data, peer)
-        if self.fills.goes_on:  # told again before the others forget it
+        for fills, peers in zip(self.told, self.to, strict=True):
+            while (data := fills.tell(now)) is not None:
+                for peer in peers:
+                    self.socket.send(data, peer)
+        if any(fills.goes_on for fills in self.told):  # told again before the others forget it
             self._tell_in(self.limits.fills_again_ms)
 
     def _received(self, data: bytes, peer: Address) -> None:
--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -2,7 +2,6 @@
 
 The types that go in and out are in spoolpier/interface.py. The mechanism is CASweighted of Roehm, Boehm and
 Schek ("Cache-Aware Query Routing in a Cluster of Databases"); docs/design.md says what was kept and changed.
-The parts follow a job's life: worker table, signature index, job ledger, held queue, dispatcher.
 """
 
 from __future__ import annotations
@@ -168,6 +167,7 @@
         self.salt = mix(settings.me + 1)
         self.turn, self.ours = -1, list[Worker]()  # at cold workers
         self.fleet = False  # what all dispatchers fill is told: a limit is of all together
+        self.parts = 1  # of the fleet: what is filled at a worker is told to the dispatchers of its part
         self.slots_of_kind: dict[int, float] = {}
         self.ran: dict[int, tuple[float, float]] = {}  # by kind of warm worker: work by hint, and time taken
         self.run_ms = RUN_MS
@@ -225,8 +225,7 @@
     def order(self, job: Job, homes: int) -> list[Worker]:
         """The start of the key's rendezvous order. Worked out once a key until the list changes.
 
-        The first so many are the homes of a hot key: each dispatcher has an order of its own among them, or
-        all of them would run into the first at once, faster than any report can tell.
+        Each dispatcher has its own among the homes of a hot key, or all would run into the first at once.
         """
         key = (job.hash, job.kind.kind, homes)
         found = self.orders.get(key)
@@ -234,16 +233,21 @@
             if len(self.orders) >= ORDERS_KEPT:
                 self.orders.clear()
             walk = POOL_MOST if self.fleet else max(WALK, homes + WALK // 2)
-            found = top(self.pool(job.kind.kind, job.hash), job.hash, walk)
+            found = sorted(top(self.pool(job.kind.kind, job.hash), job.hash, walk), key=self.foreign)
             found[:homes] = top(found[:homes], job.hash ^ self.salt, homes)
             if self.fleet:
-                found[homes + NEAR :] = top(found[homes + NEAR :], job.hash ^ self.salt, walk)
+                rest = top(found[homes + NEAR :], job.hash ^ self.salt, walk)
+                found[homes + NEAR :] = sorted(rest, key=self.foreign)
             self.orders[key] = found
         return found
 
+    def foreign(self, w: Worker) -> bool:
+        """Whether a worker is of another part: what is filled there is not told to us."""
+        return (w.id - self.settings.me) % self.parts != 0
+
     def homes(self, share: float, job: Job) -> int:
         """How many workers a key with this share of the jobs needs, to the next power of two."""
-        wanted = share * (len(self.pool(job.kind.kind, job.hash)) << self.slice_bits)
+        wanted = share * (len(self.pool(job.kind.kind, job.hash)) << self.slice_bits) / self.parts
         return 1 << max(0, math.ceil(wanted) - 1).bit_length()
 
     def group_order(self, job: Job) -> list[Worker]:
@@ -442,10 +446,6 @@
                 del self.workers[w.key]
             w.key = None
 
-    def matches(self, key: int | None) -> list[Worker]:
-        """Workers that remember the key."""
-        return list(self.workers.get(key, {}).values())
-
 
 class JobLedger:
     """Jobs not yet answered for good and attempts still out. The only place that sends, refuses or fails."""
@@ -734,7 +734,7 @@
     def on_shares(self, event: api.Shares) -> None:
         """What others fill, and what of a cold worker's budget is spent."""
         if event.fleet and not self.table.fleet:
-            self.table.fleet = True
+            self.table.fleet, self.table.parts = True, self.settings.parts
             self.table.orders.clear()
             for known in self.table.workers.values():
                 known.limit = max(known.limit, known.size)
@@ -773,7 +773,7 @@
         """The free worker with the best benefit, ties in rendezvous order; probes where news is old."""
         table, now, may_probe = self.table, self.now, self.settings.may_probe
         homes = table.homes(self.signatures.share(job.key), job)
-        matches = self.signatures.matches(job.key)
+        matches = list(self.signatures.workers.get(job.key, {}).values())
         if len(matches) > 1:
             matches = top(matches, job.hash if homes == 1 else job.hash ^ table.salt, len(matches))
         if job.suspects and job.kind.effect is api.Effect.KEYED:
--- a/spoolpier/interface.py
+++ b/spoolpier/interface.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+PART = 40  # dispatchers that tell each other what they fill, at least: so many once were the whole fleet
 Report = Mapping[str, float]
 """A load report. Known names: free_slots, free_memory, held, waiting, busy, service_ms."""
 
@@ -125,6 +126,15 @@
     fall_ms: float = 1000.0
     fee_cross_zone: float = 0.0
 
+    @property
+    def parts(self) -> int:
+        """Parts of the fleet: each byte is paid for at each dispatcher that hears it.
+
+        What is filled at a worker is told to those of its part alone: the worker's number and theirs are
+        alike modulo this.
+        """
+        return max(1, self.dispatchers // PART)
+
     def __post_init__(self) -> None:
         """Refuse settings that no decision could be based on, naming the one at fault."""
         if not self.classes:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -10,8 +10,10 @@
 from dataclasses import replace
 from itertools import pairwise
 
-from pebbledrift.config import Limits
+from pebbledrift.config import Address, Config, Limits
+from pebbledrift.core.clock import Clock
 from pebbledrift.fleet.fills import FORM, Fills
+from pebbledrift.fleet.neighbours import FleetNeighbours
 from pebbledrift.net.datagrams import PeerSocket
 from pebbledrift.pool import worker_number
 from pebbledrift.turns import Turns
@@ -263,6 +265,45 @@
                 self.assertLess(within, 4.0 * share * slowest * 1000.0)
 
 
+class Told(PeerSocket):
+    """Notes what would go out, and to whom."""
+
+    def __init__(self, limits: Limits, peers: tuple[Address, ...]) -> None:
+        super().__init__(limits, peers)
+        self.out: list[tuple[bytes, Address]] = []
+
+    def send(self, data: bytes, peer: Address) -> None:
+        self.out.append((data, peer))
+
+
+class PartsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_what_is_filled_is_told_once_to_each_node_of_the_workers_part(self) -> None:
+        known = settings(dispatchers=200, me=7, may_tell=True)
+        peers = tuple(("127.0.0.1", 1000 + n) for n in range(200))
+        all_at = ("127.0.0.1", 999)
+        limits = Limits(fills_gather_ms=0.0)
+        config = Config("n7", known, limits, (), (), (), (), 1, peers=peers, peers_all=all_at)
+        neighbours = FleetNeighbours(config, Clock(), lambda: set(WORKERS))
+        told = Told(limits, peers)
+        neighbours.meet(told)
+        self.assertEqual(known.parts, 5)
+        for worker in WORKERS[:6]:
+            told.out.clear()
+            neighbours.filled(worker, 1.0)
+            while not told.out:
+                await asyncio.sleep(0.001)
+            to = [peer[1] - 1000 for _, peer in told.out]
+            self.assertEqual(to, [n for n in range(200) if n % 5 == worker % 5 and n != 7])
+
+    def test_a_job_stays_in_its_part_while_that_has_room(self) -> None:
+        entries = tuple(api.WorkerEntry(worker=w, weight=5.0) for w in range(1, 121))
+        d = Dispatcher(settings(dispatchers=200, me=7, nominal_weights=True, tells_start=True), seed=1)
+        d.step(0, [api.WorkerList(api.ListForm.CACHED, entries), api.Shares((), fleet=True)])
+        for i in range(40):
+            [sent] = sends(d.step(5 + 5 * i, [job(f"j{i}", key=i)]))
+            self.assertEqual(sent.worker % 5, 2)
+
+
 class PeerSocketTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_crowd_of_peers_wakes_the_node_seldom_and_a_step_reads_the_newest(self) -> None:
         ends = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(20)]
