Without a 202 a keyed job goes again only once its worker has ended the connection

At fault: HttpDestination._not_taken, which reported the end as it closed the connection.

Now the node ends its side and waits for the worker's end of the connection, which PROTOCOL counts as a reset. Where none comes the attempt stays out, a late 202 still counts, and the job has its answer in time.

Test: a worker that never answers, and ends its connection when told to (fails before).

--- a/pebbledrift/net/destinations.py
+++ b/pebbledrift/net/destinations.py
@@ -177,6 +177,17 @@
         """No connection came up."""
         self._end(None, kind)
 
+    def withdraw(self) -> bool:
+        """Say that no response is waited for; the connection ends with it. False if that is no use.
+
+        Nothing is written after the request: what the other side sees is the end of the stream.
+        """
+        connection = self.connection
+        if not self.written or connection is None or connection.transport is None:
+            return False
+        connection.transport.write_eof()
+        return True
+
     def give_up(self) -> None:
         """Nothing more is wanted; a connection in use is closed, which tells the worker so."""
         self.done = None
@@ -458,7 +469,14 @@
         self.engine.ended(attempt, outcome, report=report)
 
     def _not_taken(self, attempt: Attempt) -> None:
-        """No 202 in time: the connection is closed, which gives the attempt up, but it may have run."""
+        """No 202 in time: the connection is closed, which gives the attempt up, but it may have run.
+
+        What may go again waits for the worker's end of the connection: where the way to it is cut it hears of
+        no close, and would run a first copy beside the second.
+        """
+        once = self.engine.settings.classes[attempt.operation.job_class].effect is api.Effect.UNSAFE
+        if not once and attempt in self.exchanges and self.exchanges[attempt].withdraw():
+            return
         exchange = self.exchanges.pop(attempt, None)
         if exchange is not None:
             exchange.give_up()
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -63,3 +63,29 @@
         self.assertIn("quiet", other.taken)
         slow.call("lively", "done", result="lively")
         self.assertEqual(answers[0].get(timeout=20)[0], 200)
+
+    def test_a_job_without_a_202_goes_again_only_once_its_worker_has_ended_the_connection(self) -> None:
+        heard, may_end = threading.Event(), threading.Event()
+
+        def mute(worker: Worker, request: Server, job: str) -> None:
+            if job == "marker":
+                serve(worker, request, job)
+                return
+            assert request.connection.recv(1) == b""  # the node waits for no answer any more
+            heard.set()
+            may_end.wait(20)
+            request.drop()
+
+        first, other = Worker("s-1", mute), Worker("s-2", serve)
+        node, discovery = self.platform(first, node={"accept_again_ms": 50})
+        other.node = node.address
+        self.addCleanup(other.close)
+        answer = node.later("unheard", "fechamento", 20.0)
+        eventually(lambda: "unheard" in first.taken)
+        discovery.change(other.target())
+        self.assertTrue(heard.wait(20))
+        self.assertEqual(node.job("marker")[::2], (200, b"marker"))
+        self.assertNotIn("unheard", other.taken)
+        may_end.set()
+        self.assertEqual(answer.get(timeout=20)[::2], (200, b"unheard"))
+        self.assertIn("unheard", other.taken)
