--- a/pebbledrift/cores/supervisor.py
+++ b/pebbledrift/cores/supervisor.py
@@ -216,6 +216,7 @@
         self.loop.add_reader(ended, self._died, core, core.process, ended)
         # what it has to know before anything else
         self._send_news(core, self.roster.whole(), self.roster.cached)
+        core.link.send({"kind": "rely", "current": self.follower.current})
         for uid in self.bans:
             core.link.send({"kind": "ban", "uid": uid, "banned": True, "must": True})
         core.link.send({"kind": "pause", "paused": self.states.paused})
--- a/pebbledrift/discovery.py
+++ b/pebbledrift/discovery.py
@@ -122,8 +122,8 @@
             self.rely(self.current)
         if self._doubt is not None:
             self._doubt.cancel()
-        # at least a moment: a refused call may move the time on without a word
-        self._doubt = asyncio.get_running_loop().call_later(max(left, 50.0) / 1000, self._look)
+        if self.current:  # else the next news has it looked at again
+            self._doubt = asyncio.get_running_loop().call_later(left / 1000, self._look)
 
     async def _follow(self, discovery: Address) -> None:
         host = f"{discovery[0]}:{discovery[1]}"
--- a/pebbledrift/net/destinations.py
+++ b/pebbledrift/net/destinations.py
@@ -70,8 +70,8 @@
         if message.second.startswith("1"):
             return
         exchange, self.exchange = self.exchange, None
-        if exchange is not None and not exchange.written:
-            # guards the next request: the rest of this one would stand before it
+        if exchange is not None and (exchange.withdrawn or not exchange.written):
+            # guards the next request: the rest of this one would stand before it, or it could not be written
             message.keep_alive = False
         if exchange is None:
             self.abort()  # nothing was asked on this connection: what comes belongs to no request
@@ -118,6 +118,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.began = 0.0
         self.written = False  # the last byte too
+        self.withdrawn = False  # our side of the connection is ended
 
     def begin(self, connection: Connection) -> None:
         """Write the request, once: what breaks after its last byte may have run.
@@ -185,6 +186,7 @@
         connection = self.connection
         if not self.written or connection is None or connection.transport is None:
             return False
+        self.withdrawn = True
         connection.transport.write_eof()
         return True
 
--- a/pebbledrift/reliance.py
+++ b/pebbledrift/reliance.py
@@ -40,5 +40,6 @@
 
     def refused(self, now_ms: float) -> None:
         """A call has failed, and discovery or its machine said so."""
-        if not self._silent:
+        # guards a list that has lapsed: only news make it current again
+        if not self._silent and now_ms < self.until_ms:
             self.until_ms = max(self.until_ms, now_ms + self.failed_ms)
