A trace of single requests over all nodes, at a log level of its own

Change: the level `trace` (logs.py), bounded to 5,000 lines a second and node; lines at taken, held and why, send and what was believed of the worker, begun, ended by what, given up and why, answer, and at connections, datagrams and probes. The reasons are worked out in core/view.py from the module's own tables, in the order in which Dispatcher.choose looks; the module itself is untouched. A `log_level` that nobody knows ends the start with its key.

--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any
 
+from pebbledrift.logs import LEVELS
 from spoolpier import interface as api
 from spoolpier.settings import read_settings
 
@@ -418,6 +419,9 @@
     peers = config.get("peers", [])
     if not isinstance(peers, list):
         raise ConfigError(f"peers: not a list: {peers!r}")
+    log_level = text(config, "log_level", environ.get("PEBBLEDRIFT_LOG", "info")).lower()
+    if log_level not in LEVELS:
+        raise ConfigError(f"log_level: not one of {', '.join(LEVELS)}: {log_level!r}")
     seed = config.get("seed", 0)
     try:
         seed = int(seed, 16) if isinstance(seed, str) else int(seed)
@@ -444,6 +448,6 @@
         beanstalk=read_beanstalk(config, classes, tenants),
         inventory=file("inventory"),
         store_file=file("store_file"),
-        log_level=text(config, "log_level", environ.get("PEBBLEDRIFT_LOG", "info")),
+        log_level=log_level,
         cores=cores,
     )
--- a/pebbledrift/core/engine.py
+++ b/pebbledrift/core/engine.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from pebbledrift import logs
 from pebbledrift.config import Limits
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.figures import Figures
@@ -23,7 +24,7 @@
     Recipient,
     Verdict,
 )
-from pebbledrift.core.view import avoided
+from pebbledrift.core.view import avoided, belief, why_held
 from spoolpier import Dispatcher
 from spoolpier import interface as api
 from spoolpier.handover import adopt, job_state, learn, learned
@@ -111,6 +112,9 @@
                 self.refuse(operation, "no room for its id")
                 return
         grace = self._enter(operation)
+        if logs.traced():
+            hint = operation.hint_ms or 0.0
+            logs.trace("taken", id=operation.id, kind=operation.job_class, hint=hint, grace=grace)
         self._observe(operation, "taken")
         self._event(self._arrival(operation, grace))
 
@@ -244,6 +248,8 @@
     def noted(self, attempt: Attempt, progress: api.Progress, share: float) -> None:
         """An attempt has begun or goes on."""
         if attempt.open:
+            if not attempt.started and logs.traced():
+                logs.trace("started", id=attempt.operation.id, worker=attempt.worker, number=attempt.number)
             attempt.started = True
             worker, number = attempt.worker, attempt.number
             self._event(api.Note(attempt.operation.id, number, worker, progress, share))
@@ -326,6 +332,9 @@
         while self._wakes and self._wakes[0] <= now:
             heapq.heappop(self._wakes)
             events.append(api.Timer(0))
+        tracing = logs.traced()
+        if tracing:
+            held = {job: why_held(self._dispatcher, job, now) for job in list(self._dispatcher.held.jobs)}
         try:
             actions = self._dispatcher.step(now, events)
         except Exception:
@@ -336,6 +345,8 @@
                 operation = self.open.get(event.job) if isinstance(event, api.Arrival) else None
                 if operation is not None:
                     self._finish(operation, self._given_up(operation))
+        if tracing:
+            self._trace_step(actions, held, now)
         for action in actions:
             try:
                 self._act(action, now)
@@ -344,6 +355,24 @@
         if self._wakes:
             self._wake(self._wakes[0])
 
+    def _trace_step(
+        self, actions: list[api.Action], held: dict[str, dict[str, int] | None], now: float
+    ) -> None:
+        """Say what a step has decided, and what it rested on."""
+        for action in actions:
+            if isinstance(action, api.Send):
+                work = action.work if action.most else 0.0
+                told = belief(self._dispatcher, action.worker, now)
+                logs.trace("send", id=action.job, worker=action.worker, cold=work, **told)
+            elif isinstance(action, api.Refuse | api.Fail):
+                kind = type(action).__name__.lower()
+                logs.trace("given up", id=action.job, how=kind, why=held.get(action.job) or "-")
+            elif isinstance(action, api.Probe):
+                logs.trace("probe", worker=action.worker)
+        for job in self._dispatcher.held.jobs:
+            if job not in held:
+                logs.trace("held", id=job, why=why_held(self._dispatcher, job, now))
+
     def _hear_neighbours(self, events: list[api.Event]) -> None:
         """Put what the other processes of the node do before everything else that has happened."""
         if self.neighbours is not None:
@@ -452,6 +481,9 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         operation = attempt.operation
+        if logs.traced():
+            ended = {"id": operation.id, "worker": attempt.worker, "by": kind.name.lower()}
+            logs.trace("ended", number=attempt.number, started=attempt.started, **ended)
         if self.neighbours is not None:
             self.neighbours.filled(attempt.worker, -operation.slots)
         elapsed = self.clock.now_ms() - attempt.sent_ms
@@ -485,6 +517,8 @@
     def _tell(self, operation: Operation, answer: Answer) -> None:
         """Every answer of an operation passes here, and is counted here."""
         self.figures.answered(operation.job_class, answer.verdict)
+        if logs.traced():
+            logs.trace("answer", id=operation.id, verdict=answer.verdict.value, reason=answer.reason or "-")
         recipients, operation.recipients = operation.recipients, []
         for recipient in recipients:
             recipient.answered(operation, answer)
--- a/pebbledrift/core/view.py
+++ b/pebbledrift/core/view.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from spoolpier.brain import EXCLUDED_MOST, NEVER, WorkerTable
+from collections import Counter
+
+from spoolpier.brain import EXCLUDED_MOST, NEVER, Dispatcher, Job, Worker, WorkerTable
 
 
 def avoided(table: WorkerTable, now: float) -> set[int]:
@@ -13,3 +15,69 @@
         failing = {w.id for w in up if now < w.failed_until.get(job_class, NEVER)}
         found |= failing if len(failing) <= EXCLUDED_MOST * len(up) else set()
     return found
+
+
+def belief(dispatcher: Dispatcher, worker: int, now: float) -> dict[str, object]:
+    """What the module holds of a worker, in a few words and figures."""
+    w = dispatcher.table.workers.get(worker)
+    if w is None:
+        return {"state": "unknown"}
+    s = dispatcher.settings
+    state = "up" if w.up else "out"
+    if w.up and w.started_ms > 0 and now - w.started_ms < s.cold_ms:
+        state = "cold"
+    if w.up and now < w.suspended_until:
+        state = "doubted"
+    return {
+        "state": state,
+        "age_ms": round(now - w.started_ms) if w.started_ms else "-",
+        "filled": w.filled,
+        "others": w.others,
+        "limit": round(w.limit, 1),
+    }
+
+
+def hindrance(dispatcher: Dispatcher, job: Job, w: Worker, now: float) -> str:
+    """Why a job is not sent to a worker now, in the order in which Dispatcher.choose looks; "" if it could.
+
+    Probes that are out are not looked at.
+    """
+    table, s = dispatcher.table, dispatcher.settings
+    if now < w.suspended_until:
+        return "doubted"
+    if now < w.full_until:
+        return "queue"
+    if w.id in job.barred:
+        return "tried"
+    if job.kind.kind not in (-1, w.kind):
+        return "kind"
+    if not table.most_fail(job, now) and now < w.failed_until.get(job.job_class, NEVER):
+        return "failing"
+    if s.tells_start:
+        full = w.filled + w.others + job.slots > max(w.limit, job.slots)
+    elif w.seen_at >= now - table.trust_ms:
+        full = w.free - w.unseen < job.slots
+    else:
+        full = not s.may_probe and w.own + w.others >= int(w.limit)
+    if full:
+        return "full"
+    if job.suspects and not dispatcher.ledger.may_send(job, w, now):
+        return "rule"
+    if w.memory is not None and job.memory is not None and w.memory < job.memory:
+        return "memory"
+    if w.started_ms and (budget := table.cold_budget(w, now)) < job.work:
+        return "cold" if budget else "cold, not our turn"
+    return ""
+
+
+def why_held(dispatcher: Dispatcher, job_id: str, now: float) -> dict[str, int] | None:
+    """Of all workers up, how many would not take a held job, by reason; None for a job that is not held.
+
+    "unseen" are those that would: the job has not looked so far yet.
+    """
+    job = dispatcher.held.jobs.get(job_id)
+    if job is None:
+        return None
+    up = [w for w in dispatcher.table.workers.values() if w.up]
+    found = Counter(hindrance(dispatcher, job, w, now) or "unseen" for w in up)
+    return dict(found.most_common())
--- a/pebbledrift/logs.py
+++ b/pebbledrift/logs.py
@@ -6,6 +6,13 @@
 import sys
 from collections.abc import Mapping
 
+TRACE = 5  # below debug: what single requests go through, for bench.trace
+TRACE_MOST = 5000  # such lines a second; beyond it they are counted
+logging.addLevelName(TRACE, "TRACE")
+tracing = logging.getLogger("pebbledrift.trace")
+
+LEVELS = ("trace", "debug", "info", "warning", "error", "critical")
+
 _STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
 
 
@@ -57,9 +64,10 @@
         if int(record.created) != self.second:
             self.second = int(record.created)
             self.seen.clear()
-        event = record.name, str(record.msg)
+        traced = record.levelno == TRACE
+        event = record.name, "" if traced else str(record.msg)
         self.seen[event] = self.seen.get(event, 0) + 1
-        if self.seen[event] > self.MOST:
+        if self.seen[event] > (TRACE_MOST if traced else self.MOST):
             self.suppressed[event] = self.suppressed.get(event, 0) + 1
             return False
         if event in self.suppressed:
@@ -67,6 +75,16 @@
         return True
 
 
+def traced() -> bool:
+    """Whether lines of the trace are written: asked before anything is worked out for one."""
+    return tracing.isEnabledFor(TRACE)
+
+
+def trace(event: str, **fields: object) -> None:
+    """One line of the trace."""
+    tracing.log(TRACE, event, extra=fields)
+
+
 def setup(level: str, **always: object) -> None:
     """Send all records to standard error, each with what `always` stands for."""
     handler = logging.StreamHandler(sys.stderr)
--- a/pebbledrift/net/datagrams.py
+++ b/pebbledrift/net/datagrams.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import Callable
 
+from pebbledrift import logs
 from pebbledrift.config import Address, Limits
 
 log = logging.getLogger(__name__)
@@ -71,6 +72,8 @@
         if len(data) > self.limits.datagram_bytes:
             log.error("datagram too long", extra={"bytes": len(data)})
         elif self._socket is not None:
+            if logs.traced():
+                logs.trace("datagram", to=f"{peer[0]}:{peer[1]}", bytes=len(data))
             try:
                 self._socket.sendto(data, peer)
             except OSError as error:
--- a/pebbledrift/net/destinations.py
+++ b/pebbledrift/net/destinations.py
@@ -8,6 +8,7 @@
 import weakref
 from collections.abc import Callable
 
+from pebbledrift import logs
 from pebbledrift.config import Address, Limits
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.engine import Engine
@@ -289,6 +290,8 @@
             self._loop.call_soon(exchange.unreached, api.OutcomeKind.NOT_SENT)
         else:
             self.budget.used += 1
+            if logs.traced():
+                logs.trace("connect", to=f"{self.address[0]}:{self.address[1]}")
             task = self._loop.create_task(self._open(exchange))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
