A pushed list is watched, and a newer process begins with the list of the older

The nodes' logs have no line of discovery at all. Cause: the watch began with the module's WatchList alone (engine._act), which the module asks for only where lists are asked for (brain, `watch_at`: FOREVER otherwise). Under `discovery = "push"` no call was ever made to the agent: a node lived on the list of its start, heard of no drain, and was ready only once its patience (`ready_above_elder_ms`, 6 s) was over. At fault: pool.py `begin`, discovery.py `Follower`, node.py `could_serve`.

Change: where lists are pushed the pool follows from its start, without turns (AtOnce). PushedReliance: what the agent holds counts as told, so that a call that is up is word enough, however silent, and the list lapses at 0.8 of the drain grace without one; calls that come up and break unheard gain nothing. In an upgrade the older process tells its list and each change until the newer one has heard discovery itself; patience applies only while an older process serves. The three modules are a package, pebbledrift/discovery.

Two tests failed once under load and wait for their condition now (a tube told by a peer; a drain told to a node one of whose cores is stopped).

--- a/pebbledrift/cores/supervisor.py
+++ b/pebbledrift/cores/supervisor.py
@@ -34,7 +34,7 @@
 from pebbledrift.cores.plan import STALE_S, Load, Revival, Roster, deal
 from pebbledrift.cores.region import Layout, Region, RegionError
 from pebbledrift.cores.start import Start
-from pebbledrift.discovery import Follower
+from pebbledrift.discovery.follower import Follower
 from pebbledrift.fronts.admin import AdminFront, NodeFigures, NotObeyed
 from pebbledrift.inventory import Host
 from pebbledrift.net.front import listening_socket
--- a/pebbledrift/discovery.py
+++ b/pebbledrift/discovery/follower.py
@@ -5,15 +5,17 @@
 import asyncio
 import json
 import logging
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
 
+from pebbledrift import logs
 from pebbledrift.config import Address, Config, Limits
 from pebbledrift.core.clock import Clock
+from pebbledrift.discovery.reliance import PushedReliance, Reliance
+from pebbledrift.discovery.turns import AtOnce, Turns
 from pebbledrift.net.http import HttpProtocol, Message, request
-from pebbledrift.reliance import Reliance
-from pebbledrift.turns import Turns
 
 log = logging.getLogger(__name__)
 
@@ -33,23 +35,29 @@
     ) -> None:
         self.limits = limits = config.limits
         self.clock = clock
-        self.turns = Turns(
-            config.settings.me,
-            config.settings.dispatchers,
-            limits.watch_turn_ms,
-            # guards what must be known in time: a turn, a call and another turn fit into this
-            config.settings.must_ask_in_ms / 2,
-            limits.watch_at_once_ms,
-            limits.watch_rounds,
-        )
+        settings = config.settings
+        self.turns: Turns | AtOnce
+        if settings.ask_for_list:
+            self.turns = Turns(
+                settings.me,
+                settings.dispatchers,
+                limits.watch_turn_ms,
+                # guards what must be known in time: a turn, a call and another turn fit into this
+                settings.must_ask_in_ms / 2,
+                limits.watch_at_once_ms,
+                limits.watch_rounds,
+            )
+            self.reliance = Reliance(limits.news_told_ms, settings.must_ask_in_ms)
+        else:
+            self.turns, self.reliance = AtOnce(), PushedReliance(settings.drain_grace_ms)
         self.discovery = discovery = config.discovery
         self.take = take
         self.rely = rely
-        self.reliance = Reliance(limits.news_told_ms, config.settings.must_ask_in_ms)
         self.current = True
         self._doubt: asyncio.TimerHandle | None = None
         self.rev: int | None = 0  # None: the whole list has to be asked for
         self.heard = discovery is None
+        self.listeners: list[Callable[[Mapping[str, Any]], None]] = []  # told of all news taken in
         self._watching: asyncio.Task[None] | None = None
         self._leaving: asyncio.Task[None] | None = None  # the watch on the discovery before this one
 
@@ -66,6 +74,27 @@
             self.at(news)
             self._leave()
         self.take(news)
+        for listener in self.listeners:
+            listener(news)
+
+    def inherit(self, news: Mapping[str, Any], left_ms: float) -> bool:
+        """Take in what the process before this one was told, until discovery itself has spoken here.
+
+        `left_ms`: for how long it may be relied on. Returns whether it was taken.
+        """
+        if self.heard:
+            # guards against the order: what this process has heard itself may be newer
+            return False
+        self.at(news)
+        self.take(news)
+        self.reliance.inherited(self.clock.now_ms(), left_ms)
+        self._look()
+        return True
+
+    @property
+    def left_ms(self) -> float:
+        """For how long the list may be relied on if nothing more is heard; below 0 where it may not."""
+        return self.reliance.until_ms - self.clock.now_ms()
 
     def watch(self) -> None:
         """Begin to follow discovery; the watch then renews itself for good."""
@@ -96,11 +125,11 @@
     async def stop(self) -> None:
         """End the watch."""
         self._leave()
-        if self._doubt is not None:
-            self._doubt.cancel()
         if self._watching is not None:
             self._watching.cancel()
             await asyncio.gather(self._watching, return_exceptions=True)
+        if self._doubt is not None:
+            self._doubt.cancel()
 
     def _leave(self) -> None:
         if self._leaving is not None:
@@ -113,17 +142,40 @@
         if not self.current:
             self._look()
 
+    def opened(self) -> None:
+        """A call has come up."""
+        self.reliance.opened(self.clock.now_ms())
+        if not self.current:
+            # guards a lapsed list: what an agent holds it says at once, and a drain may be among it
+            self._look_in(self.limits.ready_without_watch_ms)
+
+    def closed(self, silent: bool, heard: bool) -> None:
+        """A call is over (Reliance.closed)."""
+        self.reliance.closed(self.clock.now_ms(), silent, heard)
+        if self.current:  # only news make a lapsed list current again
+            self._look()
+
+    def refused(self) -> None:
+        """A call has failed, and the other side said so."""
+        self.reliance.refused(self.clock.now_ms())
+        if self.current:
+            self._look()
+
     def _look(self) -> None:
         """Say whether the list may be relied on, where that has changed, and look again when it may not."""
-        left = self.reliance.until_ms - self.clock.now_ms()
+        left = self.left_ms
         if self.current is not (left > 0):
             self.current = left > 0
             log.warning("list of workers", extra={"current": self.current})
             self.rely(self.current)
+        if self.current:  # else the next news has it looked at again
+            self._look_in(left)
+
+    def _look_in(self, ms: float) -> None:
         if self._doubt is not None:
             self._doubt.cancel()
-        if self.current:  # else the next news has it looked at again
-            self._doubt = asyncio.get_running_loop().call_later(left / 1000, self._look)
+        if ms < math.inf:
+            self._doubt = asyncio.get_running_loop().call_later(ms / 1000, self._look)
 
     async def _follow(self, discovery: Address) -> None:
         host = f"{discovery[0]}:{discovery[1]}"
@@ -131,6 +183,8 @@
             await asyncio.sleep(self.turns.wait_ms(self.clock.now_ms()) / 1000)
             if discovery != self.discovery:
                 return  # moved on: a watch on the one before is not renewed
+            if logs.traced():
+                logs.trace("discovery", rev=self.rev)
             try:
                 if self.rev is None:
                     await self._fetch(discovery, host)
@@ -139,7 +193,7 @@
                 log.info("discovery out of reach", extra={"error": str(error)})
                 heard = False
                 if isinstance(error, ConnectionError):
-                    self.reliance.refused(self.clock.now_ms())
+                    self.refused()
             if heard:
                 self.turns.succeeded()
             else:
@@ -217,8 +271,7 @@
         super().__init__(follower.limits, request=False, stream=True)
         self.follower = follower
         self.discovery = discovery
-        self.heard = False
-        self.silent = False
+        self.begun = self.heard = self.silent = False
         self.head: Message | None = None
         self.loop = asyncio.get_running_loop()
         self.ended: asyncio.Future[None] = self.loop.create_future()
@@ -229,12 +282,14 @@
         assert self.transport is not None
         self.transport.write(request("GET", target, {"Host": host}))
         self._alive()
+        self.begun = True
+        self.follower.opened()
 
     def message_received(self, message: Message) -> None:
         self.head = message
         if message.status != 200:
             log.info("watch refused", extra={"status": message.status})
-            self.follower.reliance.refused(self.follower.clock.now_ms())
+            self.follower.refused()
             self.abort()
 
     def fed(self) -> None:
@@ -272,15 +327,13 @@
     def connection_lost(self, exc: Exception | None) -> None:
         if self.timer is not None:
             self.timer.cancel()
-        if self.silent:
-            self.follower.reliance.fell_silent()
-        elif self.heard:
-            self.follower.reliance.ended(self.follower.clock.now_ms())
+        if self.begun:
+            self.follower.closed(self.silent, self.heard)
         if not self.ended.done():
             self.ended.set_result(None)
 
     def _fell_silent(self) -> None:
-        self.silent = self.heard
+        self.silent = True
         self.abort()
 
     def _alive(self) -> None:
--- /dev/null
+++ b/pebbledrift/discovery/reliance.py
@@ -0,0 +1,98 @@
+"""Until when the list of workers may be relied on, from what was heard of discovery. No I/O.
+
+Two kinds: a service that nodes ask, and an agent on the node's own machine that is pushed the list.
+
+A drain counts as told some time after it was, whether its news arrived or not (PROTOCOL, "Figures"; WIRE,
+`must_ask_in_ms`). A node that cannot know by then that its list is current must send nothing: any worker
+may be the one that drains. Times are milliseconds of one clock.
+"""
+
+from __future__ import annotations
+
+import math
+
+
+class Reliance:
+    """What one node knows of how old its list may be."""
+
+    def __init__(self, told_ms: float, ask_ms: float) -> None:
+        self.told_ms = told_ms  # of an open watch: news count as told this long after the change
+        self.ask_ms = ask_ms  # of a node that neither watches nor asks, and
+        self.failed_ms = 4 * ask_ms  # of one whose call failed
+        self.until_ms = math.inf
+        self._silent = False
+
+    def begun(self, now_ms: float) -> None:
+        """The node begins with a list known before; it has not asked yet."""
+        self.until_ms = now_ms + self.ask_ms
+
+    def inherited(self, now_ms: float, left_ms: float) -> None:
+        """The process before this one has told its list, which may be relied on for so long still."""
+        self.until_ms = max(self.until_ms, now_ms + left_ms)
+
+    def opened(self, now_ms: float) -> None:
+        """A call has come up and been asked; nothing was said yet."""
+
+    def heard(self, now_ms: float) -> None:
+        """A watch is alive: all that was to be told before has been taken in."""
+        self._silent = False
+        self.until_ms = now_ms + self.told_ms
+
+    def closed(self, now_ms: float, silent: bool, heard: bool) -> None:
+        """A call is over; `heard`: something was told on it.
+
+        `silent`: it was given up here since it said nothing any more. Discovery may take it to be open,
+        and that what it has to tell is told on it. Else discovery has ended it, and has told all it had to.
+        """
+        if heard and silent:
+            self._silent = True
+        elif heard and not self._silent:
+            self.until_ms = max(self.until_ms, now_ms + self.ask_ms)
+
+    def refused(self, now_ms: float) -> None:
+        """A call has failed, and discovery or its machine said so."""
+        # guards a list that has lapsed: only news make it current again
+        if not self._silent and now_ms < self.until_ms:
+            self.until_ms = max(self.until_ms, now_ms + self.failed_ms)
+
+
+class PushedReliance(Reliance):
+    """The same for an agent on the node's own machine, which is pushed the list.
+
+    What the agent holds counts as told to the node, and nothing else does (PROTOCOL, "Discovery"). It says at
+    once what it holds and is silent while it is pushed nothing, so that the list is current for as long as a
+    call to it is up, however long it says nothing. Without a call it may hold a drain that was not read: the
+    list is relied on for the grace that drains have, less a margin for what is on its way out.
+    """
+
+    MARGIN = 0.2  # share of the grace that is left for sends under way
+
+    def __init__(self, grace_ms: float) -> None:
+        super().__init__(grace_ms, grace_ms)
+        self.left_ms = grace_ms * (1 - self.MARGIN)
+        self._up = 0  # calls that are up; two while discovery moves
+        self._before_ms = math.inf  # until when, before the first of these came up
+
+    def begun(self, now_ms: float) -> None:
+        self.until_ms = self._before_ms = now_ms + self.left_ms
+
+    def opened(self, now_ms: float) -> None:
+        if self._up == 0:
+            self._before_ms = self.until_ms
+        self._up += 1
+        self.until_ms = math.inf
+
+    def heard(self, now_ms: float) -> None:
+        self.until_ms = math.inf
+
+    def closed(self, now_ms: float, silent: bool, heard: bool) -> None:
+        self._up -= 1
+        if self._up == 0:
+            self.until_ms = now_ms + self.left_ms
+            if not silent and not heard:
+                # guards against calls that come up and break, one after the other: they show nothing
+                self.until_ms = min(self.until_ms, self._before_ms)
+
+    def refused(self, now_ms: float) -> None:
+        if self._up == 0:
+            self.until_ms = min(self.until_ms, now_ms + self.left_ms)
--- a/pebbledrift/turns.py
+++ b/pebbledrift/discovery/turns.py
@@ -45,3 +45,17 @@
     def failed(self) -> None:
         """A call was turned away, broke, or was not answered in time."""
         self.failures += 1
+
+
+class AtOnce:
+    """The turns of a node whose discovery answers it alone: there are none to wait for (see Turns)."""
+
+    def wait_ms(self, now_ms: float) -> float:
+        """How long the next call has to wait."""
+        return 0.0
+
+    def succeeded(self) -> None:
+        """A call was answered."""
+
+    def failed(self) -> None:
+        """A call was not."""
--- a/pebbledrift/node.py
+++ b/pebbledrift/node.py
@@ -63,10 +63,12 @@
         began = self.clock.now_ms()
 
         def could_serve() -> bool:
-            limits, alone = config.limits, config.front_fd is None
+            limits, follower = config.limits, self.pool.follower
+            alone = self.upgrade.elder is None  # else somebody serves meanwhile
             patience = limits.ready_without_watch_ms if alone else limits.ready_above_elder_ms
             waited = self.clock.now_ms() - began >= patience
-            return self.pool.serves() and (self.pool.follower.heard or waited)
+            informed = follower.heard or (self.upgrade.informed and follower.current)
+            return self.pool.serves() and (informed or waited)
 
         self.states = NodeStates(could_serve)
         self.front = PlatformFront(config, self.engine, self.clock, self.states)
--- a/pebbledrift/pool.py
+++ b/pebbledrift/pool.py
@@ -9,11 +9,12 @@
 from dataclasses import replace
 from typing import Any
 
+from pebbledrift import logs
 from pebbledrift.config import Address, Config, ConfigError, address
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.engine import Engine
 from pebbledrift.core.model import Destination
-from pebbledrift.discovery import Follower
+from pebbledrift.discovery.follower import Follower
 from pebbledrift.net.destinations import HttpDestination, SocketBudget
 from spoolpier import interface as api
 
@@ -55,6 +56,7 @@
         self.extra: dict[int, Destination] = {}  # of another front, from the inventory
         self.extra_entries: tuple[api.WorkerEntry, ...] = ()
         self.entries: dict[int, api.WorkerEntry] = {}  # the list, as told
+        self.targets: dict[int, Mapping[str, Any]] = {}  # the same in discovery's words
         self.known: set[int] = set()  # all that have ever been in it
         self.bans: set[str] = set()  # uids that operators have taken out, whatever the list says
         self.banned: set[int] = set()  # the same by number
@@ -71,6 +73,13 @@
         """Begin with the list as it was known before this start."""
         self.follower.at(known)
         self.take(known, cached=True)
+        if not self.config.settings.ask_for_list:
+            # nobody asks an agent for what it is pushed, and yet it is told to nobody who does not call it
+            self.follower.watch()
+
+    def whole(self) -> dict[str, Any]:
+        """The list as it is held now, in discovery's words, and its version."""
+        return {"rev": self.follower.rev, "all": True, "targets": list(self.targets.values())}
 
     def watch(self) -> None:
         """Follow discovery from now on."""
@@ -183,8 +192,11 @@
             state=state,
         )
         if state is not api.WorkerState.REMOVED:
-            self.entries[worker] = entry
+            self.entries[worker], self.targets[worker] = entry, target
             self.known.add(worker)
+        if logs.traced():
+            uid, boot = target["uid"], entry.started_ms
+            logs.trace("listed", worker=worker, uid=uid, state=state.name.lower(), boot=boot)
         return entry
 
     def _place(self, worker: int, where: Address) -> None:
@@ -201,6 +213,7 @@
     def _drop(self, worker: int) -> None:
         """The worker has left; attempts still out there end by call-back, by a break or in time."""
         self.entries.pop(worker, None)
+        self.targets.pop(worker, None)
         known = self.destinations.get(worker)
         if known is not None:
             known.close()
--- a/pebbledrift/upgrade.py
+++ b/pebbledrift/upgrade.py
@@ -7,7 +7,8 @@
 import json
 import logging
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
 
 from pebbledrift.config import Config
 from pebbledrift.core.engine import Engine
@@ -50,10 +51,12 @@
         self._heard = asyncio.Event()  # the elder has told what operators told it
         self._lost = asyncio.Event()
         self._leaving = False
+        self.informed = False  # the elder has told a list that may be relied on
         self._succeeds = False  # there was an older process at the start
         self._giving: asyncio.Task[None] | None = None
         self._waiting: asyncio.Task[None] | None = None
         front.elsewhere = self._pass_on
+        pool.follower.listeners.append(self._relay)
 
     async def meet(self) -> None:
         """Look for an older process, and hear from it what it has been told by operators."""
@@ -158,6 +161,12 @@
                     self.pool.lay_ban(str(uid), True)
                 self.states.pause(bool(fields["paused"]))
                 self._heard.set()
+            case "list":
+                # guards an upgrade while discovery is down: the elder knows what it has been told
+                if self.pool.follower.inherit(json.loads(body), float(fields["left_ms"])):
+                    self.informed = True
+                else:
+                    log.info("list of the older process not needed")
             case "learned":
                 self.engine.learn(json.loads(body))
             case "gone":
@@ -205,6 +214,14 @@
         self._share(True)
         self.heir = Link(end, self._from_heir, self._heir_lost)
         self.heir.send({"kind": "state", "bans": sorted(self.pool.bans), "paused": self.states.paused})
+        self._relay(self.pool.whole())
+
+    def _relay(self, news: Mapping[str, Any]) -> None:
+        """Tell the heir what discovery says here, for as long as it has not heard discovery itself."""
+        follower = self.pool.follower
+        if self.heir is not None and follower.discovery is not None and follower.left_ms > 0:
+            left_ms = min(follower.left_ms, self.limits.news_told_ms)
+            self.heir.send({"kind": "list", "left_ms": left_ms}, json.dumps(news).encode())
 
     def _from_heir(self, fields: Fields, body: bytes, descriptor: int | None) -> None:
         if fields["kind"] == "serving":
--- a/spoolpier/interface.py
+++ b/spoolpier/interface.py
@@ -115,6 +115,7 @@
     may_tell: bool = False
     ask_for_list: bool = False
     must_ask_in_ms: float = 10_000.0
+    drain_grace_ms: float = 500.0
     reports_in_answers: bool = False
     tells_start: bool = False
     progress_ms: float = 0.0
--- a/spoolpier/settings.py
+++ b/spoolpier/settings.py
@@ -87,6 +87,7 @@
         may_tell=bool(limits.get("may_tell", False)),
         ask_for_list=env.get("discovery", "push") == "ask",
         must_ask_in_ms=float(rules.get("must_ask_in_ms", 10_000.0)),
+        drain_grace_ms=float(rules.get("drain_grace_ms", 500.0)),
         reports_in_answers=env.get("report", {}).get("how") == "answers",
         tells_start=bool(family.get("tells_start", False)),
         progress_ms=float(family.get("progress_ms", 0.0)),
--- a/tests/test_beanstalk.py
+++ b/tests/test_beanstalk.py
@@ -340,8 +340,14 @@
         eventually(lambda: ask(node.address, "GET", "/-/ready")[0] == 200)
         producer, worker = self.client(node), self.client(node, "w1")
         producer.ask("use pesagem.acme")
-        eventually(lambda: "pesagem.acme" in producer.tubes())
-        number = producer.put("pesagem.acme")
+        answers: list[str] = []
+
+        def put() -> bool:
+            answers.append(producer.ask("put 0 0 60 2\r\n{}"))
+            return answers[-1].startswith("INSERTED")
+
+        eventually(put)  # until the node has read of the tube
+        number = int(answers[-1].split()[1])
         self.assertEqual(worker.reserve()[0], number)
         self.assertEqual(worker.ask(f"delete {number}"), "DELETED")
         delayed = producer.put("pesagem.acme", delay=1000)
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -339,6 +339,7 @@
             began = time.monotonic()
             change()
             discovery.rev += 1
+            time.sleep(0.5)  # the word has to reach the node: a job before it may go there
             for i, connection in enumerate(pair):  # one of them is at the core that is stopped
                 connection.ask(f"b{i}-{began}", budget=4.0)
             time.sleep(2.0)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import itertools
+import math
 import socket
+import threading
 import unittest
+from typing import ClassVar
 
-from pebbledrift.reliance import Reliance
-from tests.node import NodeTest, Server, Worker, ask, eventually
+from pebbledrift.discovery.reliance import PushedReliance, Reliance
+from tests.node import SETTINGS, WAIT, NodeTest, Server, Worker, ask, eventually
 
 
 def serve(worker: Worker, request: Server, job: str) -> None:
@@ -25,24 +28,87 @@
         self.reliance.heard(1000.0)
 
     def test_a_watch_that_falls_silent_is_relied_on_until_its_news_count_as_told(self) -> None:
-        self.reliance.fell_silent()
-        self.reliance.ended(4000.0)
+        self.reliance.closed(3000.0, silent=True, heard=True)
+        self.reliance.closed(4000.0, silent=False, heard=True)
         self.reliance.refused(5000.0)  # discovery may take the silent watch to be open: nothing is gained
         self.assertEqual(self.reliance.until_ms, 7000.0)
         self.reliance.heard(9000.0)
         self.assertEqual(self.reliance.until_ms, 15_000.0)
-        self.reliance.ended(9500.0)  # the new one is ended by discovery itself
+        self.reliance.closed(9500.0, silent=False, heard=True)  # the new one is ended by discovery itself
         self.assertEqual(self.reliance.until_ms, 19_500.0)
 
     def test_a_failed_call_gives_four_times_the_time_and_an_earlier_end_takes_none_back(self) -> None:
-        self.reliance.ended(2000.0)
+        self.reliance.closed(2000.0, silent=False, heard=True)
         self.assertEqual(self.reliance.until_ms, 12_000.0)
         self.reliance.refused(3000.0)
         self.assertEqual(self.reliance.until_ms, 43_000.0)
-        self.reliance.ended(4000.0)
+        self.reliance.closed(4000.0, silent=False, heard=True)
         self.assertEqual(self.reliance.until_ms, 43_000.0)
 
 
+class PushedRelianceTest(unittest.TestCase):
+    """Nothing may be sent to a drained worker later than 1,000 ms after the agent was told of it."""
+
+    def setUp(self) -> None:
+        self.reliance = PushedReliance(1000.0)
+        self.reliance.begun(0.0)
+        self.assertEqual(self.reliance.until_ms, 800.0)
+
+    def test_a_call_that_is_up_and_says_nothing_is_word_enough(self) -> None:
+        self.reliance.opened(10.0)
+        self.assertEqual(self.reliance.until_ms, math.inf)
+        self.reliance.closed(3000.0, silent=True, heard=False)
+        self.assertEqual(self.reliance.until_ms, 3800.0)
+        self.reliance.refused(3400.0)  # shrinks at most
+        self.reliance.refused(3600.0)
+        self.assertEqual(self.reliance.until_ms, 3800.0)
+
+    def test_calls_that_break_unheard_gain_no_time(self) -> None:
+        for at in range(100, 2000, 100):
+            self.reliance.opened(float(at))
+            self.reliance.closed(at + 50.0, silent=False, heard=False)
+        self.assertEqual(self.reliance.until_ms, 800.0)
+
+    def test_while_discovery_moves_either_call_will_do(self) -> None:
+        self.reliance.opened(10.0)
+        self.reliance.opened(20.0)
+        self.reliance.closed(30.0, silent=False, heard=True)
+        self.assertEqual(self.reliance.until_ms, math.inf)
+        self.reliance.closed(40.0, silent=False, heard=True)
+        self.assertEqual(self.reliance.until_ms, 840.0)
+
+
+class PushedListTest(NodeTest):
+    """An agent on the node's machine is pushed the list: nobody asks for it, and the node must hear it."""
+
+    RULES: ClassVar = {**SETTINGS["rules"], "drain_grace_ms": 600.0}
+
+    def test_a_pushed_drain_is_heard_and_an_agent_that_says_nothing_is_relied_on(self) -> None:
+        first, second = Worker("s-1", serve), Worker("s-2", serve)
+        limits = {"watch_silent_ms": 100, "watch_retry_ms": 10}
+        node, discovery = self.platform(first, second, node=limits, discovery="push", rules=self.RULES)
+        self.assertIn("follow=1", discovery.asked.get(timeout=WAIT))  # unasked for by the decision module
+        discovery.change(first.target("terminating"))
+        numbers = itertools.count()
+        eventually(lambda: node.figures()["cluster_size"] == 2)
+        eventually(lambda: node.job(f"a{next(numbers)}")[0] == 200 and not first.taken)
+        discovery.server.shutdown()  # calls come up, and nobody speaks on them
+        for i in range(4):  # longer than the grace
+            threading.Event().wait(0.25)
+            self.assertEqual(node.job(f"b{i}")[0], 200)
+        self.assertEqual(first.taken, set())
+
+    def test_without_its_agent_a_node_sends_nothing_once_a_drain_could_be_overdue(self) -> None:
+        worker = Worker("s-1", serve)
+        node, discovery = self.platform(worker, discovery="push", rules=self.RULES)
+        self.assertEqual(node.job("a")[0], 200)
+        discovery.close()
+        discovery.watches[-1].put(None)
+        eventually(lambda: any("current=False" in line for line in node.log))
+        self.assertEqual(node.job("b", budget=0.3)[0], 503)
+        self.assertNotIn("b", worker.taken)
+
+
 class SilentDiscoveryTest(NodeTest):
     def test_nothing_is_sent_by_a_list_that_cannot_be_known_to_be_current(self) -> None:
         worker = Worker("s-1", serve)
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -12,11 +12,11 @@
 
 from pebbledrift.config import Address, Config, Limits
 from pebbledrift.core.clock import Clock
+from pebbledrift.discovery.turns import Turns
 from pebbledrift.fleet.fills import FORM, Fills
 from pebbledrift.fleet.neighbours import FleetNeighbours
 from pebbledrift.net.datagrams import PeerSocket
 from pebbledrift.pool import worker_number
-from pebbledrift.turns import Turns
 from spoolpier import Dispatcher
 from spoolpier import interface as api
 from tests.helpers import finals, job, outcome, sends, settings
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -4,12 +4,10 @@
 
 import http.client
 import itertools
-import os
 import socket
-import subprocess
-import sys
 from typing import Any
 
+from pebbledrift.net.link import MeetingPlace
 from tests.node import SETTINGS, WAIT, Discovery, Node, NodeTest, Worker, ask, eventually
 from tests.test_node import keep, serve
 
@@ -273,31 +271,40 @@
 
     def test_a_newer_process_that_dies_leaves_the_place_to_the_older(self) -> None:
         old = self.process()
-        gone = Discovery([])
-        gone.close()
-        # one that never hears discovery, and has no list, is not ready: the older goes on
-        waiting = subprocess.Popen(
-            [sys.executable, "-m", "pebbledrift", "--config", str(old.path)],
-            stderr=subprocess.PIPE,
-            text=True,
-            pass_fds=(self.listener.fileno(),),
-            env={**os.environ, "TMPDIR": self.shared, "GW_FD": str(self.listener.fileno())}
-            | {"GW_DISCOVERY": gone.address, "GW_ADMIN": "127.0.0.1:0"},
-        )
-        assert waiting.stderr is not None
-        for line in waiting.stderr:
-            if "event=operators" in line:
-                break
+        end = MeetingPlace(self.shared, "n0").visit()  # as a newer process that ends before it serves
+        assert end is not None
+        eventually(lambda: any("newer process has come" in line for line in old.log))
+        end.close()
+        eventually(lambda: any("ended before it served" in line for line in old.log))
         self.assertEqual(old.call("STATUS"), "SUCCESS ready\n")
-        waiting.kill()
-        waiting.wait(WAIT)
-        waiting.stderr.close()
         new = self.process()
         eventually(lambda: old.call("STATUS") == "FAILURE succeeded\n")
         new.kill()
         eventually(lambda: old.call("STATUS") == "SUCCESS ready\n")
         self.assertEqual(old.job("a")[0], 200)
 
+    def test_while_discovery_is_down_the_newer_process_serves_by_what_the_older_was_told(self) -> None:
+        other = self.second()
+        old = self.process()
+        self.discovery.change(self.worker.target("terminating"))
+        self.worker.act = other.act = serve
+        names = (f"k{i}" for i in itertools.count())
+
+        def avoided() -> bool:
+            before = len(self.worker.taken)
+            self.assertEqual({old.job(next(names), sid=f"{i:x}")[0] for i in range(12)}, {200})
+            return len(self.worker.taken) == before
+
+        eventually(avoided)
+        gone = Discovery([])
+        gone.close()
+        taken = set(self.worker.taken)
+        # it has no list of its own, and nobody to ask: six seconds would be too late (ready_above_elder_ms)
+        new = self.process(discovery=gone.address, node={"ready_above_elder_ms": 60_000})
+        eventually(lambda: old.call("STATUS") == "FAILURE succeeded\n")
+        self.assertEqual([new.job(f"n{i}")[0] for i in range(4)], [200] * 4)
+        self.assertEqual(self.worker.taken, taken)  # the drain has gone over with the list
+
     def test_tubes_are_served_by_one_process_at_a_time(self) -> None:
         old = self.process(beanstalk={"listen": "127.0.0.1:0"})
         tubes = old.addresses[0]
