The parts of a large fleet tell each other which of their workers have room

Checked: jobs under way at a worker when one more is sent, by the sender's part. Ruled out: cold workers left idle (they get 50 to 380 jobs in five seconds, and it is warm ones that jobs queue at), and limits learned too high (4.0 to 4.8 of 5 slots). At fault: fleet/neighbours.py tells fills to the nodes of the worker's part alone, and `Worker.others` is 0 for all others: 160 nodes each send their one or two jobs to the same few.

A part's nodes take turns, one each half second, to tell the nodes outside what is free; an offer reaches four nodes a slot, what is not named is full, of a part not heard one slot is taken. The module is untouched: `others` carries it.

--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -59,6 +59,7 @@
     admin_sockets: int = 40  # operators' calls
     idle_per_destination: int = 24
     operations: int = 4000
+    parts_offers: int = 4  # nodes of other parts that a free slot is offered to
     peers_batch: int = 256  # peers' datagrams read at once: about what the kernel's queue holds
     recent: int = 4096  # ids answered lately
     buried_jobs: int = 1000  # kept to be looked at
@@ -112,6 +113,7 @@
     fills_gather_ms: float = 20.0  # what changes at workers within this goes to the peers in one datagram
     fills_again_ms: float = 2000.0  # what goes on there is told again after this
     fills_believed_ms: float = 5000.0  # and forgotten by a peer that has not heard of it for this long
+    parts_every_ms: float = 500.0  # a part of a large fleet tells the others what it has free
     digest_ms: float = 5000.0  # between digests of the store to the peers; none while it is empty
     forget_ms: float = 600_000.0  # removed entries are remembered for this long
     finished_ms: float = 60_000.0  # states of answered operations are kept for this long
--- a/pebbledrift/fleet/fills.py
+++ b/pebbledrift/fleet/fills.py
@@ -77,6 +77,14 @@
             return None
         return bytes([FORM, int(now_ms / UNIT_MS) & 0xFF]) + entries
 
+    def mine(self, worker: int) -> float:
+        """Slots that this node fills at a worker."""
+        return self._mine.get(short(worker), 0.0)
+
+    def total(self, worker: int) -> float:
+        """Slots that all nodes fill there, as far as this one has heard."""
+        return self.mine(worker) + self._total.get(short(worker), 0)
+
     # -- what the others fill
 
     def know(self, workers: Iterable[int]) -> None:
--- a/pebbledrift/fleet/neighbours.py
+++ b/pebbledrift/fleet/neighbours.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 
 from pebbledrift.config import Address, Config
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.model import Claim
 from pebbledrift.fleet.fills import FORM, Fills
+from pebbledrift.fleet.parts import FORM as PART_FORM
+from pebbledrift.fleet.parts import Parts, Place
 from pebbledrift.net.datagrams import PeerSocket
 from spoolpier import interface as api
 
@@ -21,11 +23,19 @@
 
     fleet = True
 
-    def __init__(self, config: Config, clock: Clock, known: Callable[[], set[int]]) -> None:
+    def __init__(
+        self,
+        config: Config,
+        clock: Clock,
+        known: Callable[[], set[int]],
+        listed: Callable[[], Iterable[api.WorkerEntry]],
+    ) -> None:
         limits = config.limits
         self.limits = limits
         self.clock = clock
+        self.settings = config.settings
         self.known = known  # all workers that the list has ever named
+        self.listed = listed  # those that it names now
         self.numbers = {peer: i for i, peer in enumerate(config.peers) if i != config.settings.me}
         parts = self.parts = config.settings.parts
         # by part of the fleet: what is filled at its workers, and whom to tell
@@ -39,6 +49,17 @@
         ]
         if parts == 1 and config.peers_all is not None:
             self.to = [(config.peers_all,)]
+        # how full other parts are; sizes that the list does not tell cannot be told on
+        self.rooms: Parts | None = None
+        if parts > 1 and config.settings.nominal_weights:
+            self.rooms = Parts(
+                config.settings.me,
+                config.settings.dispatchers,
+                parts,
+                limits.parts_every_ms,
+                limits.fills_believed_ms,
+                limits.parts_offers,
+            )
         self.socket: PeerSocket | None = None
         self._named = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -48,6 +69,9 @@
         """Tell and hear over this socket."""
         self.socket = socket
         socket.readers[FORM] = self._received
+        if self.rooms is not None:
+            socket.readers[PART_FORM] = self._received_room
+            self._room_in(self.rooms.wait_ms(self.clock.now_ms()))
 
     def claim(self, job: str) -> Claim:
         """Ids are each node's own."""
@@ -78,7 +102,46 @@
             mine = self.fills
             mine.know(worker for worker in known if self.told[worker % self.parts] is mine)
             self._named = len(known)
-        return tuple(api.Share(w, slots) for w, slots in self.fills.news(self.clock.now_ms()))
+        now = self.clock.now_ms()
+        found = tuple(api.Share(w, slots) for w, slots in self.fills.news(now))
+        if self.rooms is None:
+            return found
+        rooms = self.rooms.news(now, self._places(now), self._mine)
+        return found + tuple(api.Share(w, slots) for w, slots in rooms.items())
+
+    def list_changed(self) -> None:
+        """The list names other workers, or other states."""
+        if self.rooms is not None:
+            self.rooms.renew()
+
+    def _mine(self, worker: int) -> float:
+        return self.told[worker % self.parts].mine(worker)
+
+    def _places(self, now: float) -> Iterator[Place]:
+        """The workers up, with their slots by the list."""
+        for e in self.listed():
+            if e.state is api.WorkerState.UP:
+                warm = e.started_ms <= 0 or now - e.started_ms >= self.settings.cold_ms
+                yield Place(e.worker, max(1.0, e.weight), warm)
+
+    def _room_in(self, delay_ms: float) -> None:
+        self._loop.call_later(delay_ms / 1000, self._tell_room)
+
+    def _tell_room(self) -> None:
+        """It is this node's turn to say what its part has free."""
+        assert self.socket is not None and self.rooms is not None
+        if self.socket.closed:
+            return
+        now, part = self.clock.now_ms(), self.rooms.part
+        self.socket.read()
+        places = [p for p in self._places(now) if p.warm and p.worker % self.parts == part]
+        free = [(p.worker, p.size - self.fills.total(p.worker)) for p in places]
+        if any(self.fills.total(p.worker) for p in places):  # a fleet without jobs says nothing
+            data = self.rooms.tell(now, free)
+            for other, peers in enumerate(self.to):
+                for peer in peers if other != part else ():
+                    self.socket.send(data, peer)
+        self._room_in(self.rooms.wait_ms(now))
 
     def _tell_in(self, delay_ms: float) -> None:
         if self.socket is None:
@@ -104,3 +167,8 @@
         number = self.numbers.get(peer)
         if number is not None:  # what is sent to all comes back to its sender too
             self.fills.take(number, data, self.clock.now_ms())
+
+    def _received_room(self, data: bytes, peer: Address) -> None:
+        number = self.numbers.get(peer)
+        if number is not None and self.rooms is not None:
+            self.rooms.take(number, data, self.clock.now_ms())
--- a/pebbledrift/net/datagrams.py
+++ b/pebbledrift/net/datagrams.py
@@ -53,6 +53,11 @@
             self._socket.close()
             self._socket = None
 
+    @property
+    def closed(self) -> bool:
+        """Whether nothing is read and sent, or not yet."""
+        return self._socket is None
+
     def read(self) -> None:
         """Take in what has come, up to a bound: what else has happened must not wait for a flood."""
         for _ in range(self.limits.peers_batch):
--- a/pebbledrift/pool.py
+++ b/pebbledrift/pool.py
@@ -5,7 +5,7 @@
 import functools
 import hashlib
 import logging
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
 
@@ -64,6 +64,7 @@
         self.follower = Follower(config, clock, self.take, self.rely)
         self.current = True  # the list can be known to be so
         self.unknown: set[str] = set()
+        self.listeners: list[Callable[[], None]] = []  # told when the list has changed
 
     def find(self, worker: int) -> Destination | None:
         """The destination of this number."""
@@ -166,6 +167,8 @@
             for worker in [w for w in self.destinations if w not in named]:
                 self._drop(worker)
             entries += self.extra_entries  # or the module would take the inventory's workers for gone
+        for listener in self.listeners:
+            listener()
         form = api.ListForm.CACHED if cached else api.ListForm.FULL if full else api.ListForm.DELTA
         self.engine.pool_changed(api.WorkerList(form, tuple(map(self._shown, entries))))
 
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import random
 import socket
 import unittest
+from collections.abc import Mapping
 from dataclasses import replace
 from itertools import pairwise
 
@@ -15,6 +17,7 @@
 from pebbledrift.discovery.turns import Turns
 from pebbledrift.fleet.fills import FORM, Fills
 from pebbledrift.fleet.neighbours import FleetNeighbours
+from pebbledrift.fleet.parts import NONE, Parts, Place
 from pebbledrift.net.datagrams import PeerSocket
 from pebbledrift.pool import worker_number
 from spoolpier import Dispatcher
@@ -283,7 +286,7 @@
         all_at = ("127.0.0.1", 999)
         limits = Limits(fills_gather_ms=0.0)
         config = Config("n7", known, limits, (), (), (), (), 1, peers=peers, peers_all=all_at)
-        neighbours = FleetNeighbours(config, Clock(), lambda: set(WORKERS))
+        neighbours = FleetNeighbours(config, Clock(), lambda: set(WORKERS), tuple)
         told = Told(limits, peers)
         neighbours.meet(told)
         self.assertEqual(known.parts, 5)
@@ -304,6 +307,64 @@
             self.assertEqual(sent.worker % 5, 2)
 
 
+class RoomTest(unittest.TestCase):
+    """Two hundred nodes in five parts; what one part says it has free is heard by all nodes at once."""
+
+    NODES, PARTS = 200, 5
+
+    def setUp(self) -> None:
+        self.all = [Parts(n, self.NODES, self.PARTS, 500.0, 5000.0, 4) for n in range(self.NODES)]
+        self.places = [Place(worker, 5.0, True) for worker in range(100)]
+        for node in self.all:  # nothing is heard yet: a single job of each node's own, and no more
+            self.assertEqual(set(node.news(0.0, self.places, lambda w: 0.0).values()), {4.0})
+
+    def told(self, now: float, free: dict[int, float], mine: dict[int, float]) -> list[Mapping[int, float]]:
+        """What each node makes of a word of part 0, to which the workers 0, 5, 10 ... belong."""
+        data = self.all[0].tell(now, free.items())
+        self.assertLessEqual(len(data), 2 + 2 * 16)
+        for node in self.all[1:]:
+            node.take(0, data, now + 20.0)
+        return [node.news(now + 20.0, self.places, lambda w: mine.get(w, 0.0)) for node in self.all]
+
+    def test_a_free_slot_is_offered_to_a_few_nodes_and_a_full_worker_to_none(self) -> None:
+        found = self.told(10_000.0, {0: 2.0, 5: 0.4, 10: 1.0}, {})
+        inside = [found[n] for n in range(0, self.NODES, self.PARTS)]
+        self.assertTrue(all(not news for news in inside))  # its own part knows better
+        outside = [found[n] for n in range(self.NODES) if n % self.PARTS]
+        for worker, slots in ((0, 2), (10, 1), (5, 0), (15, 0)):
+            offers = [news[worker] for news in outside if news[worker] < NONE]
+            self.assertTrue(slots <= len(offers) <= 12 * slots, (worker, len(offers)))
+            self.assertEqual(set(offers), {5.0 - slots} if slots else set())
+        self.assertFalse(any(worker % self.PARTS for news in outside for worker in news))
+
+    def test_what_a_node_fills_itself_counts_once_and_the_offers_go_round(self) -> None:
+        offered: set[int] = set()
+        for second in range(10):
+            found = self.told(10_000.0 + 500.0 * second, {0: 2.0}, {0: 1.0})
+            here = [n for n, news in enumerate(found) if news.get(0, NONE) < NONE]
+            self.assertTrue(all(found[n][0] == 2.0 for n in here))  # 5 slots, 2 free, one of the others ours
+            offered.update(here)
+        self.assertGreater(len(offered), 30)
+
+    def test_a_cold_worker_is_left_to_its_budget_and_an_old_word_is_forgotten(self) -> None:
+        self.places = [replace(p, warm=p.worker != 5) for p in self.places]
+        found = self.told(10_000.0, {}, {})
+        self.assertEqual((found[7][5], found[7][0]), (0.0, NONE))
+        late = self.all[0].tell(9000.0, [(0, 5.0)])
+        self.all[7].take(0, late, 10_050.0)  # overtaken
+        self.assertEqual(self.all[7].news(10_050.0, self.places, lambda w: 0.0), {})
+        self.assertEqual(self.all[7].news(15_200.0, self.places, lambda w: 0.0)[0], 4.0)
+        for junk in (b"", b"R", late[:3], b"F" + late[1:]):
+            with self.assertRaises(ValueError):
+                self.all[7].take(0, junk, 15_200.0)
+
+    def test_the_nodes_of_a_part_take_turns(self) -> None:
+        for part in range(self.PARTS):
+            at = sorted(self.all[n].wait_ms(777_000.0) for n in range(part, self.NODES, self.PARTS))
+            self.assertEqual([b - a for a, b in itertools.pairwise(at)], [500.0] * 39)
+            self.assertLessEqual(at[-1], 20_000.0)
+
+
 class PeerSocketTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_crowd_of_peers_wakes_the_node_seldom_and_a_step_reads_the_newest(self) -> None:
         ends = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(20)]
