The nodes know each other: membership on real sockets, leases, and a rig that breaks links

Need: the operators want to know how many processes of the program behave together when parts of the system fail. The logic of a beginning was wired to no socket; cold turns divided by the configured number of nodes, whoever lived; nothing said how sure a node is of what it holds.

Change, off in `run` (it is a table [membership] of an operator's file, deploy/membership.toml): - membership/service.py on the peers' socket; view.py (whole, parted, alone, unsure; of each member since when and by whose word); conduct.py, one row a standing; MEMBERS and figures at the operators' address. - lease.py: a cold worker's budget in as many parts as nodes; a part is used under grants of a majority of a fixed committee, by each side's own monotonic clock; a grant counts only where the two wall clocks differ by no more than a bound, since turns are told by them. Compared: aiohttp against http.server threads (a thread a connection; 24 nodes are too many).

Shown with real processes (tests/test_fleet_faults.py): halves, thirds, one alone, one way, a ring, a bridge; stops of 0.6 and 4 s; kills and restarts before anybody noticed; 30% loss in bursts with reordering and copies; 20,000 datagrams of a stranger; a cold worker in a cut with one node stopped stays under its bound by its own log; a drain and a ban on one side of a cut; owners of probes. In virtual time: no two hold a part, over drawn sequences of kills, starts, stops, cuts and loss.

--- a/bench/groups.py
+++ b/bench/groups.py
@@ -67,7 +67,7 @@
     found = {
         (claim.name, claim.incarnation)
         for endpoint in world.endpoints.values()
-        for claim in endpoint.group.changes
+        for claim, _ in endpoint.group.changes
         if claim.state is State.DEAD
     }
     return len(found)
--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -5,6 +5,7 @@
 import json
 import os
 import re
+import socket
 import tempfile
 import tomllib
 from collections.abc import Mapping
@@ -27,7 +28,7 @@
 CORE_MB = 40
 KEYS = frozenset(
     "name listen admin discovery peer_listen peers peers_all known seed limits settings node beanstalk"
-    " inventory store_file log_level cores".split()
+    " inventory store_file log_level cores membership".split()
 )
 
 
@@ -153,6 +154,23 @@
     accept: str = "passed"  # the supervisor deals connections out; "inherited": each process accepts itself
 
 
+@dataclass(frozen=True)
+class MembershipConfig:
+    """How the nodes know each other (docs/membership.md)."""
+
+    group: str  # its name: nodes of another group are not heard
+    address: Address  # where the others find this node
+    seeds: tuple[Address, ...] = ()  # some members, beside the peers
+    key_file: str = ""  # a secret of at least 16 bytes; without one the group's name alone tells it apart
+    period_ms: float = 500.0  # between pings; all times of the group follow it
+    parts: str = "fixed"  # of the fleet's limits: "fixed", or "leased" from the committee
+    committee: tuple[str, ...] = ()  # names of the nodes that grant leases, the same on all nodes
+    lease_ms: float = 3000.0
+    clock_ms: float = 150.0  # by which a holder's clock may differ from a granting member's
+    duties: bool = False  # probes of workers have one owner at a time
+    probe_ms: float = 1000.0  # between two probes of a worker
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """What a node is told at its start."""
@@ -179,6 +197,7 @@
     store_file: str = ""
     log_level: str = "info"
     cores: CoresConfig = field(default_factory=CoresConfig)
+    membership: MembershipConfig | None = None
 
 
 def address(value: object, key: str) -> Address:
@@ -374,6 +393,102 @@
     return BeanstalkConfig(address(table.get("listen"), "beanstalk.listen"), tuple(tubes))
 
 
+def resolved(value: object, key: str) -> Address:
+    """An address whose host may be a name: claims about members carry IPv4 addresses."""
+    host, port = address(value, key)
+    try:
+        found = socket.getaddrinfo(host, port, socket.AF_INET, socket.SOCK_DGRAM)
+    except OSError as error:
+        raise ConfigError(f"{key}: cannot be resolved: {host!r}: {error}") from error
+    return str(found[0][4][0]), port
+
+
+def read_membership(
+    config: Mapping[str, Any],
+    listen: Address | None,
+    peers: tuple[Address, ...],
+    settings: api.Settings,
+    base: Path,
+) -> MembershipConfig | None:
+    """The operator's [membership] table; without one the nodes know each other as `peers` alone."""
+    if "membership" not in config:
+        return None
+    table = table_of(config["membership"], "membership")
+    known = {f.name: f.type for f in fields(MembershipConfig)}
+    for key in table:
+        if key not in known:
+            raise ConfigError(f"membership.{key}: unknown")
+    if not settings.may_tell:
+        raise ConfigError("membership: nodes may not tell each other anything (settings.limits.may_tell)")
+    group = text(table, "group", "", "membership.")
+    if not group:
+        raise ConfigError("membership.group: without a name")
+    if listen is None:
+        raise ConfigError("peer_listen: needed by membership")
+    values: dict[str, Any] = {"group": group}
+    for key in ("period_ms", "lease_ms", "clock_ms", "probe_ms"):
+        if key in table:
+            values[key] = amount(table[key], f"membership.{key}")
+    period = values.get("period_ms", MembershipConfig.period_ms)
+    if not 20 <= period <= 60_000:
+        raise ConfigError(f"membership.period_ms: from 20 to 60,000, not {period:g}")
+    seeds = table.get("seeds", [])
+    if not isinstance(seeds, list):
+        raise ConfigError(f"membership.seeds: not a list: {seeds!r}")
+    values["seeds"] = tuple(resolved(seed, f"membership.seeds[{i}]") for i, seed in enumerate(seeds))
+    if not peers and not seeds:
+        raise ConfigError("peers: membership needs peers, or membership.seeds")
+    if "address" in table:
+        values["address"] = resolved(table["address"], "membership.address")
+    elif peers:
+        values["address"] = peers[settings.me]
+    else:
+        values["address"] = resolved(f"{listen[0]}:{listen[1]}", "peer_listen")
+    if peers and values["address"] not in peers:
+        told = "{}:{}".format(*values["address"])
+        raise ConfigError(f"membership.address: not among peers: {told!r}")
+    values["parts"] = text(table, "parts", "fixed", "membership.")
+    if values["parts"] not in ("fixed", "leased"):
+        raise ConfigError(f"membership.parts: not one of fixed, leased: {values['parts']!r}")
+    committee = table.get("committee", [])
+    if not isinstance(committee, list):
+        raise ConfigError(f"membership.committee: not a list: {committee!r}")
+    values["committee"] = names(committee, "membership.committee")
+    if values["parts"] == "leased":
+        if not peers:
+            raise ConfigError("peers: leased parts are numbered by them")
+        size = len(values["committee"])
+        if size % 2 == 0 or len(set(values["committee"])) != size:
+            raise ConfigError("membership.committee: an odd number of different names")
+        least, clock = values.get("lease_ms", MembershipConfig.lease_ms), values.get("clock_ms", 150.0)
+        if not least >= 4 * period:
+            raise ConfigError(f"membership.lease_ms: at least four times period_ms, not {least:g}")
+        if not 4 * clock <= settings.fall_ms:
+            raise ConfigError(f"membership.clock_ms: at most a quarter of rules.fall_ms, not {clock:g}")
+    duties = table.get("duties", False)
+    if not isinstance(duties, bool):
+        raise ConfigError(f"membership.duties: not true or false: {duties!r}")
+    if duties and not settings.may_probe:
+        raise ConfigError("membership.duties: workers may not be probed (settings.limits.probes)")
+    values["duties"] = duties
+    key_file = text(table, "key_file", "", "membership.")
+    if key_file:
+        values["key_file"] = str(base / key_file)
+        read_secret(values["key_file"])
+    return MembershipConfig(**values)
+
+
+def read_secret(path: str) -> bytes:
+    """The group's secret, without the space around it."""
+    try:
+        secret = Path(path).read_bytes().strip()
+    except OSError as error:
+        raise ConfigError(f"membership.key_file: {error}") from error
+    if len(secret) < 16:
+        raise ConfigError(f"membership.key_file: at least 16 bytes are needed, not {len(secret)}")
+    return secret
+
+
 def load(environ: Mapping[str, str], path: str | None = None, replaced: bool = False) -> Config:
     """Read the file that the command line or $GW_CONFIG names; the other GW_ variables win over it.
 
@@ -418,9 +533,14 @@
     if cores.processes > 1 and "beanstalk" in config and not config.get("discovery"):
         # clients of the other cores would find no worker: those that reserve are core 0's
         raise ConfigError("cores.processes: a node whose workers all reserve (no discovery) has one process")
-    peers = config.get("peers", [])
-    if not isinstance(peers, list):
-        raise ConfigError(f"peers: not a list: {peers!r}")
+    if "membership" in config and (cores.processes > 1 or front_fd is not None):
+        raise ConfigError("membership: of nodes of one process that are not upgraded in place (cores, GW_FD)")
+    given = config.get("peers", [])
+    if not isinstance(given, list):
+        raise ConfigError(f"peers: not a list: {given!r}")
+    peers = tuple(address(p, f"peers[{i}]") for i, p in enumerate(given))
+    if "membership" in config and peers and len(peers) != settings.dispatchers:
+        raise ConfigError(f"peers: one for each of settings.balancers ({settings.dispatchers}) is needed")
     log_level = text(config, "log_level", environ.get("PEBBLEDRIFT_LOG", "info")).lower()
     if log_level not in LEVELS:
         raise ConfigError(f"log_level: not one of {', '.join(LEVELS)}: {log_level!r}")
@@ -444,7 +564,7 @@
         run_dir=environ.get("TMPDIR") or tempfile.gettempdir(),
         discovery=maybe("discovery"),
         peer_listen=maybe("peer_listen"),
-        peers=tuple(address(p, f"peers[{i}]") for i, p in enumerate(peers)),
+        peers=peers,
         peers_all=maybe("peers_all"),
         known=table_of(config.get("known") or {}, "known"),
         beanstalk=read_beanstalk(config, classes, tenants),
@@ -452,4 +572,5 @@
         store_file=file("store_file"),
         log_level=log_level,
         cores=cores,
+        membership=read_membership(config, maybe("peer_listen"), peers, settings, base),
     )
--- a/pebbledrift/core/engine.py
+++ b/pebbledrift/core/engine.py
@@ -70,6 +70,8 @@
         self.destinations = destinations
         self.neighbours = neighbours  # None: this process is the whole node
         self.observers: list[Observer] = []
+        # told of the end of each probe of this process
+        self.probe_heard: Callable[[int, bool, float, api.Report | None], None] = lambda *_: None
         self.figures = Figures(len(settings.classes))
         self.open: dict[str, Operation] = {}
         self.elsewhere: set[str] = set()  # ids that are open at the process before this one
@@ -260,8 +262,13 @@
 
     def probed(self, worker: int, ok: bool, elapsed_ms: float, report: api.Report | None) -> None:
         """A worker has told its load, or has not."""
+        self.probe_heard(worker, ok, elapsed_ms, report)
         self._event(api.ProbeResult(worker, ok, elapsed_ms, report))
 
+    def told_load(self, worker: int, elapsed_ms: float, report: api.Report) -> None:
+        """Another node has probed a worker, and tells what it heard just now."""
+        self._event(api.ProbeResult(worker, True, elapsed_ms, report))
+
     def pool_changed(self, news: api.WorkerList) -> None:
         """The pool config has changed."""
         self._event(news)
@@ -270,9 +277,12 @@
         """Workers that the module leaves alone now."""
         return avoided(self._dispatcher.table, self.clock.now_ms())
 
-    def closed(self, worker: int) -> bool:
-        """Whether the newest word at the node is that nothing new may be sent to a worker."""
-        return self.neighbours is not None and self.neighbours.closed(worker)
+    def barred(self, attempt: Attempt) -> bool:
+        """Whether an attempt must not go out any more: its worker drains, or its turn there is over."""
+        around = self.neighbours
+        if around is None:
+            return False
+        return around.closed(attempt.worker) or (attempt.turn >= 0 and around.turn_over(attempt.turn))
 
     def learned(self) -> dict[str, Any]:
         """What the module has learned, as plain data."""
@@ -376,8 +386,10 @@
     def _hear_neighbours(self, events: list[api.Event]) -> None:
         """Put what the other processes of the node do before everything else that has happened."""
         if self.neighbours is not None:
-            shares = self.neighbours.shares()
-            if shares:
+            shares, places = self.neighbours.shares(), self.neighbours.places()
+            if places is not None:
+                events.insert(0, api.Shares(shares, self.neighbours.fleet, *places))
+            elif shares:
                 events.insert(0, api.Shares(shares, self.neighbours.fleet))
 
     def _act(self, action: api.Action, now: float) -> None:
@@ -430,6 +442,7 @@
         if send.timeout_ms > 0:
             expires = min(expires, now + send.timeout_ms)
         attempt = Attempt(operation, number, worker, destination, now, expires)
+        attempt.turn = send.turn if send.most > 0 else -1
         operation.attempts.append(attempt)
         delay = max(0.0, expires - now) / 1000
         attempt.timer = self._loop.call_later(delay, self._attempt_timed_out, attempt)
--- a/pebbledrift/core/model.py
+++ b/pebbledrift/core/model.py
@@ -10,6 +10,10 @@
 
 from spoolpier import interface as api
 
+# a send to a cold worker may begin so long after its turn: its connection had to come up first. What comes
+# later was decided by a process that was stopped meanwhile, and others have had their turns since
+TURN_LATE_MS = 250.0
+
 
 class Verdict(Enum):
     """The three final answers."""
@@ -100,6 +104,14 @@
     def take_cold(self, worker: int, turn: int, work: float, most: float) -> bool:
         """Spend from a cold worker's budget for a turn; False where it would go over `most`."""
 
+    def turn_over(self, turn: int) -> bool:
+        """Whether what was to be sent to a cold worker in a turn comes too late. Asked before the
+        first byte.
+        """
+
+    def places(self) -> tuple[tuple[int, ...], float] | None:
+        """The numbers whose turns are this process's, and the guard in ms, where they have changed."""
+
     def filled(self, worker: int, slots: float) -> None:
         """This process fills so many slots more, or fewer, at a worker."""
 
@@ -146,6 +158,7 @@
     outcome: api.OutcomeKind | None = None
     timer: asyncio.TimerHandle | None = None
     started: bool = False
+    turn: int = -1  # at a cold worker, in which it has to go out
 
     @property
     def open(self) -> bool:
--- a/pebbledrift/cores/core.py
+++ b/pebbledrift/cores/core.py
@@ -24,6 +24,7 @@
 from pebbledrift import logs
 from pebbledrift.config import Config, ConfigError, load
 from pebbledrift.core.clock import Clock
+from pebbledrift.core.model import TURN_LATE_MS
 from pebbledrift.cores import figures
 from pebbledrift.cores.atoms import Atoms
 from pebbledrift.cores.board import Board, Seat
@@ -81,6 +82,13 @@
         # guards against a process that was stopped between its decision and this line
         return turn == self.turn() and self.seat.take_cold(worker, turn, work, most)
 
+    def turn_over(self, turn: int) -> bool:
+        """Whether a turn has passed, but for the time that a send takes to begin."""
+        return self.clock.now_ms() > (turn + 1) * self.fall_ms + TURN_LATE_MS
+
+    def places(self) -> None:
+        """Cores of one node have its turns together."""
+
     def shares(self) -> tuple[api.Share, ...]:
         """What has changed with the others."""
         return self.seat.shares(self.turn())
--- a/pebbledrift/cores/supervisor.py
+++ b/pebbledrift/cores/supervisor.py
@@ -432,6 +432,10 @@
         (self.bans.add if banned else self.bans.discard)(uid)
         self._set_gates()
 
+    def members(self) -> list[str]:
+        """A node of several processes is in no group."""
+        return []
+
     async def figures(self) -> NodeFigures:
         """The sum of all cores, the dead ones' counts included; one that is stopped counts as it last was."""
         await self._ask_all({"kind": "show"}, must=False)
--- a/pebbledrift/discovery/turns.py
+++ b/pebbledrift/discovery/turns.py
@@ -23,12 +23,19 @@
     def __init__(
         self, number: int, nodes: int, turn_ms: float, within_ms: float, at_once_ms: float, rounds_most: int
     ) -> None:
+        self.turn_ms, self.within_ms = turn_ms, within_ms
+        self.at_once_ms, self.rounds_most = at_once_ms, rounds_most
+        self.failures = 0  # in a row
+        self.follow(number, nodes)
+
+    def follow(self, number: int, nodes: int) -> None:
+        """The place among so many nodes from now on. Where two count differently they may call at once."""
+        whole_ms = nodes * self.turn_ms
         self.place = number / nodes
-        self.round_ms = min(nodes * turn_ms, within_ms)
+        self.round_ms = min(whole_ms, self.within_ms)
         # the longest: the whole turns of all, or so many rounds where these are short
-        self.most_ms = max(nodes * turn_ms, rounds_most * self.round_ms)
-        self.at_once = nodes * turn_ms <= at_once_ms
-        self.failures = 0  # in a row
+        self.most_ms = max(whole_ms, self.rounds_most * self.round_ms)
+        self.at_once = whole_ms <= self.at_once_ms
 
     def wait_ms(self, now_ms: float) -> float:
         """How long the next call has to wait."""
@@ -50,6 +57,9 @@
 class AtOnce:
     """The turns of a node whose discovery answers it alone: there are none to wait for (see Turns)."""
 
+    def follow(self, number: int, nodes: int) -> None:
+        """The place among so many nodes from now on."""
+
     def wait_ms(self, now_ms: float) -> float:
         """How long the next call has to wait."""
         return 0.0
--- a/pebbledrift/fleet/neighbours.py
+++ b/pebbledrift/fleet/neighbours.py
@@ -5,10 +5,11 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable, Iterator
+from typing import Protocol
 
 from pebbledrift.config import Address, Config
 from pebbledrift.core.clock import Clock
-from pebbledrift.core.model import Claim
+from pebbledrift.core.model import TURN_LATE_MS, Claim
 from pebbledrift.fleet.fills import FORM, Fills
 from pebbledrift.fleet.parts import FORM as PART_FORM
 from pebbledrift.fleet.parts import Parts, Place
@@ -18,6 +19,20 @@
 log = logging.getLogger(__name__)
 
 
+class Lessee(Protocol):
+    """Where parts of the fleet's limits are held under leases: whose turns are ours
+    (membership/service.py).
+    """
+
+    def holds(self) -> bool:
+        """Whether all that was told last may still be used."""
+
+    def changed(self) -> tuple[tuple[int, ...], float] | None:
+        """The numbers whose turns are ours and the guard in ms, where that differs from what was told
+        last.
+        """
+
+
 class FleetNeighbours:
     """core.model.Neighbours of a node of one process: nothing but slots is shared with other nodes."""
 
@@ -60,6 +75,9 @@
                 limits.fills_believed_ms,
                 limits.parts_offers,
             )
+        self.lessee: Lessee | None = None  # None: each number's turns are its own node's, whoever lives
+        # by part, whether an address answers, where that is known: who does not need not be told
+        self.answers: Callable[[Address], bool] = lambda peer: True
         self.socket: PeerSocket | None = None
         self._named = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -85,8 +103,17 @@
         return False
 
     def take_cold(self, worker: int, turn: int, work: float, most: float) -> bool:
-        """The budget of a cold worker is divided by turns; nothing is shared."""
-        return True
+        """The budget of a cold worker is divided by turns; what is leased may be over since the decision."""
+        return self.lessee is None or self.lessee.holds()
+
+    def turn_over(self, turn: int) -> bool:
+        """Whether a turn has passed, but for the time that a send takes to begin."""
+        late = self.clock.now_ms() > (turn + 1) * self.settings.fall_ms + TURN_LATE_MS
+        return late or (self.lessee is not None and not self.lessee.holds())
+
+    def places(self) -> tuple[tuple[int, ...], float] | None:
+        """Whose turns are ours, where they are held under leases and have changed."""
+        return self.lessee.changed() if self.lessee is not None else None
 
     def filled(self, worker: int, slots: float) -> None:
         """Have it told, together with what else changes shortly."""
@@ -140,7 +167,8 @@
             data = self.rooms.tell(now, free)
             for other, peers in enumerate(self.to):
                 for peer in peers if other != part else ():
-                    self.socket.send(data, peer)
+                    if self.answers(peer):
+                        self.socket.send(data, peer)
         self._room_in(self.rooms.wait_ms(now))
 
     def _tell_in(self, delay_ms: float) -> None:
@@ -159,7 +187,8 @@
         for fills, peers in zip(self.told, self.to, strict=True):
             while (data := fills.tell(now)) is not None:
                 for peer in peers:
-                    self.socket.send(data, peer)
+                    if self.answers(peer):
+                        self.socket.send(data, peer)
         if any(fills.goes_on for fills in self.told):  # told again before the others forget it
             self._tell_in(self.limits.fills_again_ms)
 
--- a/pebbledrift/fronts/admin.py
+++ b/pebbledrift/fronts/admin.py
@@ -46,6 +46,9 @@
     async def figures(self) -> NodeFigures:
         """The figures of the whole node."""
 
+    def members(self) -> list[str]:
+        """What the node holds of its group, a line each; empty where it is in none."""
+
 
 class AdminFront:
     """Carries out the operators' calls."""
@@ -58,6 +61,7 @@
             "METRICS": self._metrics,
             "PAUSE": lambda: self._pause(True),
             "RESUME": lambda: self._pause(False),
+            "MEMBERS": self._members,
         }
         self.worker_calls: dict[str, Callable[[str], Awaitable[str]]] = {
             "SUSPEND": lambda uid: self._ban(uid, True),
@@ -93,6 +97,10 @@
         log.warning("suspended" if banned else "restored", extra={"worker": uid})
         return f"SUCCESS {'out' if banned else 'in'}"
 
+    async def _members(self) -> str:
+        lines = self.node.members()
+        return "\n".join([f"SUCCESS {lines[0]}", *lines[1:], "EOT"]) if lines else "FAILURE in no group"
+
     async def _metrics(self) -> str:
         figures = await self.node.figures()
         lines = []
--- a/pebbledrift/membership/group.py
+++ b/pebbledrift/membership/group.py
@@ -78,6 +78,7 @@
     period: float = 500.0
     ping: float = 150.0  # until others are asked to ping
     helpers: int = 3
+    last_call: int = 12  # helpers that are asked before a doubted member counts as dead
     suspicion: float = 10.0  # periods, times the group's logarithm, until a suspicion is a death
     retell: float = 6.0  # times that a piece of news is sent, times the group's logarithm
     health_most: int = 4  # a member that is slow itself multiplies its times by up to one more
@@ -88,6 +89,7 @@
 
 
 END = 0xFFFF  # of a pull: there is no further part
+RIVAL_KNOCKS = 10  # at the address of another process of the same name
 IN_A_PART = 6  # claims that find room whatever the names
 
 
@@ -143,6 +145,10 @@
     claim: Claim
     since: float  # of its state
     told: int = 0  # how often its claim was sent
+    by: str = ""  # by whose word it is held
+    word: float = -math.inf  # when that word came
+    heard: float = -math.inf  # when it last spoke to this member itself
+    called: bool = False  # the last call before its death has gone out
 
 
 @dataclass(slots=True)
@@ -153,6 +159,7 @@
     sent: float
     asker: tuple[str, int] | None = None  # who asked, and under which number
     asked: bool = False  # others have been asked
+    last: bool = False  # a last call before a death: it says nothing of this member's own health
 
 
 Sends = list[tuple[Address, Message]]
@@ -168,7 +175,13 @@
         self.me = Claim(name, address, 0, State.ALIVE, life & 0xFFFF)
         self.members: dict[str, Member] = {}
         self.seeds = [s for s in seeds if s != address]
-        self.changes: list[Claim] = []  # what has changed since the caller looked; it empties the list
+        # what has changed since the caller looked, and by whose word; it empties the list
+        self.changes: list[tuple[Claim, str]] = []
+        self.stopped_at = -math.inf  # when this member last went on after a stop
+        self.synced = False  # all of another's members have been told to this one
+        self.refuted = 0  # how often another life of this name was claimed
+        self.rival: Address | None = None  # where another process of this name may be
+        self._rival_left = 0  # knocks there that are still to come
         self.health = 0  # Lifeguard's multiplier, 0: well
         self.random = random.Random(seed)
         self._my_told = 0
@@ -199,6 +212,7 @@
         times, sends = self.times, Sends()
         if now - self._last > times.late and self._last > -math.inf:
             # guards the others: after a stop nobody's silence means anything, and suspicions are old
+            self.stopped_at = now
             self._probes.clear()
             self.health = times.health_most
             for member in self.members.values():
@@ -214,15 +228,16 @@
                     del self._probes[number]
             elif age > times.ping * stretch and not probe.asked:
                 probe.asked = True
-                sends += self._ask_others(number, probe)
+                sends += self._ask_others(number, probe, times.helpers)
                 place = self.address_of(probe.target)
                 if place is not None:  # losses come in bursts: once more oneself
                     sends.append((place, self._message(Kind.PING, number)))
             elif age >= times.period * stretch:
                 del self._probes[number]
-                self.health = min(times.health_most, self.health + 1)
-                self._suspect(probe.target, now)
-        self._age(now)
+                if not probe.last:
+                    self.health = min(times.health_most, self.health + 1)
+                    self._suspect(probe.target, now)
+        sends += self._age(now)
         if now >= self._next:
             self._next = now + times.period * stretch
             sends += self._begin(now)
@@ -268,8 +283,15 @@
         # guards against halves that hold each other for dead after a cut: they go on knocking
         if lost:
             sends.append((self.random.choice(lost), self._message(Kind.PING, 0)))
+        if self.rival is not None and self._rival_left:
+            self._rival_left -= 1
+            sends.append((self.rival, self._message(Kind.PING, 0)))
         return sends
 
+    def renew(self, life: int) -> None:
+        """Begin another life without an end: what others hold of the one before is over."""
+        self.me = replace(self.me, incarnation=self.me.incarnation + 1, life=life & 0xFFFF)
+
     def _is_up(self, address: Address) -> bool:
         up = (State.ALIVE, State.SUSPECT)
         return any(m.claim.address == address and m.claim.state in up for m in self.members.values())
@@ -287,26 +309,34 @@
             if not self._round:
                 return None
 
-    def _ask_others(self, number: int, probe: _Probe) -> Sends:
+    def _ask_others(self, number: int, probe: _Probe, most: int) -> Sends:
         able = [
             m.claim.address
             for n, m in self.members.items()
             if n != probe.target and m.claim.state is State.ALIVE
         ]
-        chosen = self.random.sample(able, min(self.times.helpers, len(able)))
-        message = self._message(Kind.PING_FOR, number, probe.target)
+        chosen = self.random.sample(able, min(most, len(able)))
+        # the doubt goes with it, and a refutation comes back with the answer
+        message = self._message(Kind.PING_FOR, number, probe.target, about=probe.target)
         return [(address, message) for address in chosen]
 
-    def _age(self, now: float) -> None:
+    def _age(self, now: float) -> Sends:
         """Suspicions that were not refuted become deaths; the dead are forgotten in the end."""
-        times = self.times
+        times, sends = self.times, Sends()
         patience = times.suspicion * times.period * self._log() * (1 + self.health)
         for name, member in list(self.members.items()):
             state = member.claim.state
             if state is State.SUSPECT and now - member.since >= patience:
-                self._hold(replace(member.claim, state=State.DEAD), now)
+                self._hold(replace(member.claim, state=State.DEAD), now, self.me.name)
+            elif state is State.SUSPECT and not member.called and now - member.since >= patience / 2:
+                # guards one whom only some can reach: a few helpers drawn at random may not be among them
+                member.called = True
+                self._number = self._number % 0xFFFF + 1
+                probe = self._probes[self._number] = _Probe(name, now, asked=True, last=True)
+                sends += self._ask_others(self._number, probe, times.last_call)
             elif state >= State.DEAD and now - member.since >= times.forget:
                 del self.members[name]
+        return sends
 
     def _log(self) -> float:
         return max(1.0, math.log10(len(self.members) + 1))
@@ -319,10 +349,12 @@
             return []
         if sender not in self.members and len(self.members) < self.times.members_most:
             # whoever speaks is there; whether it is alive is for it to claim
-            self._hold(Claim(sender, address, 0, State.ALIVE, life & 0xFFFF), now)
+            self._hold(Claim(sender, address, 0, State.ALIVE, life & 0xFFFF), now, sender)
         before = self.me
         for claim in message.claims:
-            self._hear(claim, now)
+            self._hear(claim, now, sender)
+        if sender in self.members:
+            self.members[sender].heard = now
         # what was refuted is told at once to whoever said it
         refuted = [(address, self._message(Kind.PING, 0))] if self.me != before else []
         return refuted + self._reply(now, sender, address, message)
@@ -344,6 +376,7 @@
                     return []
                 self._cursor = message.number
                 self._pulled = now
+                self.synced = self.synced or message.number == END
                 return [(address, Message(Kind.PULL, message.number))] if message.number != END else []
             case Kind.PING_FOR:
                 member = self.members.get(message.target)
@@ -351,7 +384,8 @@
                     return []
                 self._number = self._number % 0xFFFF + 1
                 self._probes[self._number] = _Probe(message.target, now, (sender, message.number))
-                return [(member.claim.address, self._message(Kind.PING, self._number))]
+                ping = self._message(Kind.PING, self._number, about=message.target)
+                return [(member.claim.address, ping)]
 
     def _answered(self, number: int) -> Sends:
         probe = self._probes.pop(number, None)
@@ -373,15 +407,17 @@
         chosen = self.random.sample(up, min(2 * self.times.helpers, len(up)))
         return [(address, self._message(Kind.PING, 0)) for address in chosen]
 
-    def _message(self, kind: Kind, number: int, target: str = "", about: str = "") -> Message:
-        """A message with the news that were told least; to one that is in doubt, that first."""
+    def _message(
+        self, kind: Kind, number: int, target: str = "", about: str = "", vouched: str = ""
+    ) -> Message:
+        """A message with the news that were told least; what is doubted, or vouched for, comes first."""
         most = self.times.retell * self._log()
-        news = [m for m in self.members.values() if m.told < most and m.claim.name != about]
+        news = [m for m in self.members.values() if m.told < most and m.claim.name not in (about, vouched)]
         news.sort(key=lambda m: m.told)
-        first = self.members.get(about)
+        first = self.members.get(about or vouched)
         claims = [m.claim for m in news]
-        if first is not None and first.claim.state is not State.ALIVE:
-            claims.insert(0, first.claim)  # it is there: let it refute
+        if first is not None and (vouched or first.claim.state is not State.ALIVE):
+            claims.insert(0, first.claim)  # it is there: let it refute, or be heard of
         return Message(kind, number, target, (self.me, *claims))
 
     def told(self, message: Message, claims: int) -> None:
@@ -395,41 +431,53 @@
         """A member's lives before this one are known to be over, as this one has shown itself."""
         member = self.members.get(name)
         if member is not None and member.claim.state < State.DEAD and member.claim.life != life & 0xFFFF:
-            self._hold(replace(member.claim, state=State.DEAD), now)
+            self._hold(replace(member.claim, state=State.DEAD), now, name)
 
     # -- claims
 
     def _suspect(self, name: str, now: float) -> None:
         member = self.members.get(name)
         if member is not None and member.claim.state is State.ALIVE:
-            self._hold(replace(member.claim, state=State.SUSPECT), now)
+            self._hold(replace(member.claim, state=State.SUSPECT), now, self.me.name)
 
-    def _hear(self, claim: Claim, now: float) -> None:
+    def _hear(self, claim: Claim, now: float, by: str) -> None:
         if claim.name == self.me.name:
             self._refute(claim)
             return
         member = self.members.get(claim.name)
         if member is None:
             if len(self.members) < self.times.members_most:
-                self._hold(claim, now)
+                self._hold(claim, now, by)
         elif claim.beats(member.claim):
-            self._hold(claim, now)
+            self._hold(claim, now, by)
+        elif claim == member.claim:
+            member.word = now
 
     def _refute(self, claim: Claim) -> None:
         """What others say of this member, or an earlier life of it has said, is not the last word."""
         if self.me.state is State.LEFT:
             return
         same = claim.address == self.me.address and claim.life == self.me.life
+        if not same and claim.state is State.ALIVE:
+            self.refuted += 1
+            if claim.address != self.me.address:
+                self.rival, self._rival_left = claim.address, RIVAL_KNOCKS
         if claim.beats(self.me) or (claim.incarnation == self.me.incarnation and not same):
             if claim.state is State.SUSPECT and same:
                 self.health = min(self.times.health_most, self.health + 1)  # it was too slow for somebody
             self.me = replace(self.me, incarnation=claim.incarnation + 1)
 
-    def _hold(self, claim: Claim, now: float) -> None:
+    def _hold(self, claim: Claim, now: float, by: str) -> None:
         known = self.members.get(claim.name)
-        self.members[claim.name] = Member(claim, now)
+        heard = known.heard if known is not None and known.claim.life == claim.life else -math.inf
+        same = known is not None and known.claim.state is State.ALIVE is claim.state
+        # a suspicion begins anew with each incarnation: the one before was refuted
+        since = known.since if known is not None and same and known.claim.life == claim.life else now
+        self.members[claim.name] = Member(claim, since, 0, by, now, heard)
         if known is None or _shows(known.claim) != _shows(claim):
-            self.changes.append(claim)
+            self.changes.append((claim, by))
+            # guards memory where nobody looks
+            del self.changes[: -self.times.members_most]
 
 
 def _shows(claim: Claim) -> tuple[State, Address, int]:
--- a/pebbledrift/membership/seal.py
+++ b/pebbledrift/membership/seal.py
@@ -40,6 +40,14 @@
     """A datagram that is not what it claims: its MAC, its form or its counter is wrong."""
 
 
+class Retired(Forged):
+    """A datagram, or the recording of one, of a life that another one of its name has followed."""
+
+    def __init__(self, name: str, life: int, present: int) -> None:
+        super().__init__("of an earlier life")
+        self.name, self.life, self.present = name, life, present
+
+
 @dataclass(slots=True)
 class Peer:
     """What is known of the lives of one name."""
@@ -83,6 +91,11 @@
         purpose = b"pebbledrift-dgm"
         self._keys = [hashlib.blake2b(key, digest_size=32, person=purpose).digest() for key in keys]
 
+    def renew(self) -> None:
+        """Begin another life: each peer will ask for its proof. Lives drawn apart keep their order."""
+        self.life = (self.life + 1) & 0xFFFFFFFFFFFFFFFF or 1
+        self.counter = 0
+
     def seal(self, body: bytes) -> bytes:
         """A datagram with this body."""
         name = self.name.encode()
@@ -111,7 +124,7 @@
             raise Forged("our own, come back")
         peer = self.peers.get(name)
         if peer is not None and life in peer.retired:
-            raise Forged("of an earlier life")
+            raise Retired(name, life, peer.life)
         if peer is None or peer.life != life:
             return Opened(name, life, body, fresh=False)
         self._count(peer, counter)
--- a/pebbledrift/net/datagrams.py
+++ b/pebbledrift/net/datagrams.py
@@ -12,6 +12,9 @@
 
 log = logging.getLogger(__name__)
 
+FLOOD = 128  # datagrams in one pause: more than two hundred peers send
+FLOOD_PAUSE_MS = 10.0
+
 
 class PeerSocket:
     """The UDP socket at peer_listen.
@@ -27,6 +30,7 @@
         self.peers = frozenset(peers)
         # by the first byte; ValueError for what cannot be read
         self.readers: dict[int, Callable[[bytes, Address], None]] = {}
+        self.open_forms: set[int] = set()  # of these, from any address: what comes is under seal
         self.wakes = 0  # how often the loop was woken for datagrams
         self._socket: socket.socket | None = None
         self._loop = asyncio.get_running_loop()
@@ -58,19 +62,23 @@
         """Whether nothing is read and sent, or not yet."""
         return self._socket is None
 
-    def read(self) -> None:
-        """Take in what has come, up to a bound: what else has happened must not wait for a flood."""
-        for _ in range(self.limits.peers_batch):
+    def read(self) -> int:
+        """Take in what has come, up to a bound: what else has happened must not wait for a flood.
+
+        Returns how many datagrams that were.
+        """
+        for count in range(self.limits.peers_batch):
             if self._socket is None:
-                return
+                return count
             try:
                 data, addr = self._socket.recvfrom(65536)
             except (BlockingIOError, InterruptedError):
-                return
+                return count
             except OSError as error:
                 log.debug("datagram lost", extra={"error": str(error)})
-                return
+                return count
             self._received(data, (addr[0], addr[1]))
+        return self.limits.peers_batch
 
     def send(self, data: bytes, peer: Address) -> None:
         """Send one datagram, or drop it where it would break the limit: a longer one is a fault of ours."""
@@ -87,9 +95,11 @@
     def _readable(self) -> None:
         assert self._socket is not None
         self.wakes += 1
-        self.read()
+        found = self.read()
         self._loop.remove_reader(self._socket)
-        self._pause = self._loop.call_later(self.limits.peers_pause_ms / 1000, self._go_on)
+        # guards the group's datagrams in a flood of others: the kernel's queue must not be full by then
+        pause_ms = self.limits.peers_pause_ms if found < FLOOD else FLOOD_PAUSE_MS
+        self._pause = self._loop.call_later(pause_ms / 1000, self._go_on)
 
     def _go_on(self) -> None:
         self._pause = None
@@ -97,7 +107,8 @@
             self._loop.add_reader(self._socket, self._readable)
 
     def _received(self, data: bytes, peer: Address) -> None:
-        if peer not in self.peers or len(data) > self.limits.datagram_bytes:
+        known = peer in self.peers or (bool(data) and data[0] in self.open_forms)
+        if not known or len(data) > self.limits.datagram_bytes:
             log.info("datagram dropped", extra={"peer": str(peer), "bytes": len(data)})
             return
         reader = self.readers.get(data[0]) if data else None
--- a/pebbledrift/net/destinations.py
+++ b/pebbledrift/net/destinations.py
@@ -390,7 +390,7 @@
         self.turned_down = 0  # requests in a row that the worker finds at fault
 
     def send(self, attempt: Attempt) -> None:
-        if self.engine.closed(self.worker):
+        if self.engine.barred(attempt):
             self.engine.ended(attempt, api.OutcomeKind.NOT_SENT)
             return
         work = attempt.operation.work
@@ -403,7 +403,7 @@
             data,
             lambda message, kind: self._answered(attempt, message, kind),
             lambda: self.engine.sent_whole(attempt),
-            lambda: self.engine.closed(self.worker),
+            lambda: self.engine.barred(attempt),
         )
         self.exchanges[attempt] = exchange
         once = self.engine.settings.classes[attempt.operation.job_class].effect is api.Effect.UNSAFE
--- a/pebbledrift/node.py
+++ b/pebbledrift/node.py
@@ -7,9 +7,10 @@
 import logging
 import signal
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from pebbledrift import inventory
-from pebbledrift.config import Config
+from pebbledrift.config import Config, MembershipConfig, read_secret
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.engine import Engine
 from pebbledrift.core.model import Answer, Destination, Neighbours
@@ -28,6 +29,9 @@
 from pebbledrift.store.service import NodeStore
 from pebbledrift.upgrade import Upgrade
 
+if TYPE_CHECKING:
+    from pebbledrift.membership.service import Membership
+
 log = logging.getLogger("pebbledrift")
 
 ReadAgain = Callable[[], Config]
@@ -86,6 +90,7 @@
         self.admin = LineServer(config.limits, AdminFront(config.classes, self).answer)
         self.reloader = Reloader(config, read_again, self.apply, self.engine.figures)
         self.peers: PeerSocket | None = None
+        self.membership: Membership | None = None
         self.store: NodeStore | None = None
         self.tubes: BeanstalkFront | None = None
         self._servers: list[asyncio.Server] = []
@@ -114,7 +119,7 @@
         config = self.config
         self.pool.begin(config.known)
         peers = None
-        if config.peer_listen is not None and config.peers:
+        if config.peer_listen is not None and (config.peers or config.membership is not None):
             self.peers = peers = PeerSocket(config.limits, config.peers)
             # in an upgrade both processes have it
             found = peers.listen(config.peer_listen, config.front_fd is not None)
@@ -122,6 +127,8 @@
             if self.fleet is not None:
                 self.fleet.meet(peers)
         self.store = NodeStore(config, self.clock, peers)
+        if config.membership is not None:
+            self._join(config.membership)
         if config.front_fd is not None:
             await self.upgrade.meet()
         if config.admin is not None:
@@ -134,6 +141,27 @@
             else:
                 self._tubes_served.add_done_callback(_told)
 
+    def _join(self, table: MembershipConfig) -> None:
+        """Be a member of the group, and let the parts of the node follow what is known of it (conduct.py)."""
+        # not on the platform's path
+        from pebbledrift.membership.service import Leased, Membership
+        from pebbledrift.membership.work import Probes
+
+        assert self.peers is not None and self.store is not None
+        secret = read_secret(table.key_file) if table.key_file else b""
+        self.membership = group = Membership(self.config, table, self.clock, self.peers, secret)
+        follower = self.pool.follower
+        group.changed.append(lambda: follower.turns.follow(*group.rank()))
+        if self.fleet is not None:
+            self.fleet.answers = group.answers
+            self.fleet.lessee = Leased(group) if table.parts == "leased" else None
+        if self.store.replica is not None:
+            self.store.replica.answers = group.answers
+            self.store.replica.repairs = lambda: group.conduct.repair
+        if table.duties:
+            Probes(group, self.engine, self.pool, table.probe_ms)
+        group.start()
+
     async def serve(self) -> None:
         """Accept clients, once this process could serve or is the only one, until it is told to end."""
         stop = self.loop.create_task(self.stopping.wait())
@@ -182,6 +210,8 @@
         for server in self._servers:
             server.close()
         await self.pool.follower.stop()
+        if self.membership is not None:
+            self.membership.leave()
         if self.peers is not None:
             self.peers.close()
         if self.store is not None:
@@ -225,8 +255,13 @@
             cluster_unhealthy=len(listed & (self.engine.avoided() | self.pool.banned)),
             conf_loaded=figures.conf_loaded,
             conf_invalid=figures.conf_invalid,
+            more=self.membership.figures() if self.membership is not None else {},
         )
 
+    def members(self) -> list[str]:
+        """What is held of the group."""
+        return self.membership.lines() if self.membership is not None else []
+
     async def _serve_tubes(self) -> None:
         assert self.config.beanstalk is not None and self.store is not None
         if self.upgrade.elder is not None:
--- a/pebbledrift/store/replica.py
+++ b/pebbledrift/store/replica.py
@@ -6,6 +6,7 @@
 import logging
 import random
 import struct
+from collections.abc import Callable
 from typing import Protocol
 
 from pebbledrift.config import Address, Limits
@@ -69,6 +70,8 @@
         self.peers = peers
         self.out = out
         self.random = random.Random(seed)
+        self.answers: Callable[[Address], bool] = lambda peer: True  # whether a peer may be there
+        self.repairs: Callable[[], bool] = lambda: True  # whether anybody would hear a digest
         self._loop = asyncio.get_running_loop()
         table.listeners.append(self._changed)
         self._digest_later()
@@ -86,8 +89,9 @@
     def _digest(self) -> None:
         self.table.forget(self.table.now_ms() - self.limits.forget_ms)
         # an empty store says nothing: on the platform every datagram has its price
-        if self.table.entries and self.peers:
-            self.out.send(pack_digest(self.table.digest()), self.random.choice(self.peers))
+        there = [peer for peer in self.peers if self.answers(peer)]
+        if self.table.entries and there and self.repairs():
+            self.out.send(pack_digest(self.table.digest()), self.random.choice(there))
         self._digest_later()
 
     def received(self, data: bytes, peer: Address) -> None:
--- a/pebbledrift/store/service.py
+++ b/pebbledrift/store/service.py
@@ -33,9 +33,10 @@
         self.clock = clock
         self.table = Table(config.limits, config.settings.me, clock.now_ms)
         self.journal = Journal(config.store_file, self.table) if config.store_file else None
+        self.replica: Replica | None = None
         if peers is not None:
             others = tuple(a for i, a in enumerate(config.peers) if i != config.settings.me)
-            replica = Replica(self.table, config.limits, others, peers, config.seed)
+            self.replica = replica = Replica(self.table, config.limits, others, peers, config.seed)
             for kind in (ENTRY, DIGEST):
                 peers.readers[kind] = replica.received
         self.inventory_changed: Callable[[list[Host]], None] = lambda hosts: None
--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -164,8 +164,9 @@
         self.pools: dict[tuple[int, int], list[Worker]] = {}
         self.slice_bits = 0
         self.orders: dict[tuple[int, int, int], list[Worker]] = {}
-        self.salt = mix(settings.me + 1)
-        self.turn, self.ours = -1, list[Worker]()  # at cold workers
+        self.salt, self.turn, self.ours = mix(settings.me + 1), -1, list[Worker]()  # the turn at cold workers
+        self.places: tuple[int, ...] = (settings.me,)  # whose turns are ours, but for the first part of each
+        self.guard_ms = 0.0
         self.fleet = False  # what all dispatchers fill is told: a limit is of all together
         self.parts = 1  # of the fleet: what is filled at a worker is told to the dispatchers of its part
         self.slots_of_kind: dict[int, float] = {}
@@ -203,10 +204,7 @@
                 gone.append(w)
             w.zone, w.cell, w.kind = e.zone, e.cell, e.kind
             w.started_ms, w.up = e.started_ms, up
-        ready = sum(w.up for w in self.workers.values())
-        self.slice_bits = 0
-        while ready >> self.slice_bits > POOL_MOST:
-            self.slice_bits += 1
+        self.slice_bits = (sum(w.up for w in self.workers.values()) // (POOL_MOST + 1)).bit_length()
         self.pools.clear()
         self.orders.clear()
         self.turn = -1
@@ -252,9 +250,8 @@
 
     def group_order(self, job: Job) -> list[Worker]:
         """The rendezvous order within the group that drops the job's repeats."""
-        anchor, kind = job.suspects[0].worker, job.kind.kind
-        ready = [w for w in self.workers.values() if w.up and in_group(job, anchor, w)]
-        return top([w for w in ready if kind in (-1, w.kind)], job.hash, WALK)
+        ready = [w for w in self.workers.values() if w.up and job.kind.kind in (-1, w.kind)]
+        return top([w for w in ready if in_group(job, job.suspects[0].worker, w)], job.hash, WALK)
 
     def take_report(self, w: Worker, report: api.Report | None, now: float) -> None:
         """Note what a report says of the free slots."""
@@ -281,7 +278,7 @@
         """Work that a cold worker may still be sent by us in this turn; endless once it is warm.
 
         All dispatchers together must not push it over and none hears of the others: in each span of fall_ms
-        a few have the turn, by their number, and share what the worker can take, a mean job each or more.
+        a few have the turn, by their places, and share what the worker can take, a mean job each or more.
         """
         s, w.cold_most = self.settings, 0.0
         if w.started_ms <= 0 or now - w.started_ms >= s.cold_ms:
@@ -293,11 +290,12 @@
         power = max(self.slots_of_kind.get(w.kind, 1.0), w.size) * max(speed, SLOT_SPEED)
         budget = COLD_SAFETY * s.fall_multiple * share * power * s.fall_ms
         holders = max(1, min(s.dispatchers, int(budget / (COLD_JOB_MS * max(1.0, s.dispatchers / COLD_FEW)))))
-        if (s.me - w.hash - turn * holders) % s.dispatchers >= holders:
+        ours = sum((place - w.hash - turn * holders) % s.dispatchers < holders for place in self.places)
+        if not ours or now % s.fall_ms < self.guard_ms:
             return 0.0
         if w.cold_turn != turn:
             w.cold_turn, w.cold_spent = turn, 0.0
-        w.cold_most = budget / holders
+        w.cold_most = budget * ours / holders
         return w.cold_most - w.cold_spent
 
     def cold_ones(self, now: float) -> list[Worker]:
@@ -738,6 +736,8 @@
             self.table.orders.clear()
             for known in self.table.workers.values():
                 known.limit = max(known.limit, known.size)
+        if event.places is not None:
+            self.table.places, self.table.guard_ms, self.table.turn = event.places, event.guard_ms, -1
         for share in event.shares:
             w = self.table.workers.get(share.worker)
             if w is not None:
--- a/spoolpier/interface.py
+++ b/spoolpier/interface.py
@@ -251,11 +251,14 @@
 class Shares:
     """News of the dispatchers that are one node with this one, or of all that there are (`fleet`).
 
-    What is not named is as before.
+    What is not named is as before. `places`: the numbers whose turns at cold workers are this dispatcher's,
+    where that is not its own number alone; none of them is used in a turn's first guard_ms.
     """
 
     shares: tuple[Share, ...]
     fleet: bool = False
+    places: tuple[int, ...] | None = None
+    guard_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -227,7 +227,7 @@
         back = world.network.until(world.agree, 9000)
         self.assertLess(back, 2000)
         world.network.run(5000)
-        accused = [c for c in world.group("n4").changes if c.state is not State.ALIVE and c.name != "n4"]
+        accused = [c for c, _ in world.group("n4").changes if c.state is not State.ALIVE and c.name != "n4"]
         self.assertEqual(accused, [])
 
     def test_a_cut_in_halves_heals(self) -> None:
