While more jobs are held than out, an answer has to be surer to be in time

At fault: brain.py, OVERHEAD_AT for overhead and pace alike, however many wait.

Change: CROWDED_AT = 0.85 while more jobs are held than out. Room: HeldQueue.due sorts in one expression.

--- a/bench/groups.py
+++ b/bench/groups.py
@@ -63,13 +63,12 @@
     world.network.until(world.agree, 120_000)
     for endpoint in world.endpoints.values():
         endpoint.group.changes.clear()
-    world.network.run(hours * 3_600_000)
-    found = {
-        (claim.name, claim.incarnation)
-        for endpoint in world.endpoints.values()
-        for claim, _ in endpoint.group.changes
-        if claim.state is State.DEAD
-    }
+    found: set[tuple[str, int]] = set()
+    for _ in range(max(1, round(hours * 360))):  # ten seconds at a time: a member keeps so many changes only
+        world.network.run(10_000)
+        for endpoint in world.endpoints.values():
+            changes, endpoint.group.changes = endpoint.group.changes, []
+            found |= {(c.name, c.incarnation) for c, _ in changes if c.state is State.DEAD}
     return len(found)
 
 
--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -34,7 +34,8 @@
 RUN_MS = 500.0  # time from send to outcome before any was seen, and
 RUN_PART = 0.05  # the part that each new one has in its mean
 OVERHEAD_STEP_MS = 20.0  # step by which the overhead follows each outcome, towards
-OVERHEAD_AT = 0.6  # the value that this share of the jobs stays under
+OVERHEAD_AT = 0.6  # the value that this share of the jobs stays under, or, while more are held than are
+CROWDED_AT = 0.85  # out, this one: a job that may be late then takes the slot of one that is surely in time
 PACE_STEP = 0.1  # the same for the pace, in hints: a dozen slow outcomes show that the fleet is slow
 PACE_MOST = 0.8  # share of a job's slack that the pace may take: a long job must still find a worker
 OVERHEAD_MOST = 0.6  # share of a class's aim that the overhead may take: some must still be tried
@@ -172,7 +173,7 @@
         self.slots_of_kind: dict[int, float] = {}
         self.ran: dict[int, tuple[float, float]] = {}  # by kind of warm worker: work by hint, and time taken
         self.run_ms = RUN_MS
-        self.overhead = 0.0  # what a job takes beyond its hint, of late
+        self.overhead, self.at = 0.0, OVERHEAD_AT  # what a job takes beyond its hint, of late
         self.pace = 1.0  # send-to-outcome time over the hint, of late: machines that others use run slower
         self.trust_ms = TRUST_MS if settings.may_probe else TRUST_ANSWER_MS
 
@@ -330,9 +331,9 @@
                     hinted, took = self.ran.get(w.kind, (0.0, 0.0))
                     self.ran[w.kind] = hinted + a.job.hint, took + now - a.began_at
                 slow = now - a.sent_at > self.pace * a.job.hint
-                self.pace = max(1.0, self.pace + PACE_STEP * (OVERHEAD_AT if slow else OVERHEAD_AT - 1))
+                self.pace = max(1.0, self.pace + PACE_STEP * (self.at if slow else self.at - 1))
             over = now - a.sent_at - (a.job.hint or self.run_ms) > self.overhead
-            self.overhead += OVERHEAD_STEP_MS * (OVERHEAD_AT if over else OVERHEAD_AT - 1)
+            self.overhead += OVERHEAD_STEP_MS * (self.at if over else self.at - 1)
             self.run_ms += RUN_PART * (now - a.sent_at - self.run_ms)
             if not self.settings.tells_start:
                 w.limit += 1 / w.limit
@@ -541,10 +542,8 @@
 
     def due(self, now: float) -> list[Job]:
         """Jobs that may look for a worker, the head first."""
-        jobs = [j for j in self.jobs.values() if j.retry_at <= now]
-        if len(jobs) > 1:
-            jobs.sort(key=lambda j: self.rank(j, now), reverse=True)
-        return jobs
+        jobs = (j for j in self.jobs.values() if j.retry_at <= now)
+        return sorted(jobs, key=lambda j: self.rank(j, now), reverse=True)
 
     def rank(self, job: Job, now: float) -> float:
         """Best benefit over the run time, by hint or else the key's last time (1 s if none), aged."""
@@ -757,6 +756,7 @@
     def place(self) -> None:
         """Send held jobs, the head first, as far as free workers are known."""
         in_vain = 0
+        self.table.at = CROWDED_AT if len(self.held.jobs) > len(self.ledger.out) else OVERHEAD_AT
         for job in self.held.due(self.now):
             if in_vain >= TRIES_A_STEP:
                 job.retry_at = self.now + RETRY_MS / 2
--- a/spoolpier/settings.py
+++ b/spoolpier/settings.py
@@ -68,6 +68,8 @@
                 streamed=bool(entry.get("streamed", False)),
             )
         )
+    # a mode that nobody knows would be taken for another one, and no change of the list would be heard
+    asked = choice({"discovery": "push", **env}, "discovery", {"ask": True, "push": False})
     return api.Settings(
         classes=tuple(classes),
         dispatchers=int(number(env, "balancers")),
@@ -85,7 +87,7 @@
         may_probe=bool(limits.get("probes", False)),
         may_cancel=bool(limits.get("cancel", False)),
         may_tell=bool(limits.get("may_tell", False)),
-        ask_for_list=env.get("discovery", "push") == "ask",
+        ask_for_list=asked,
         must_ask_in_ms=float(rules.get("must_ask_in_ms", 10_000.0)),
         drain_grace_ms=float(rules.get("drain_grace_ms", 500.0)),
         reports_in_answers=env.get("report", {}).get("how") == "answers",
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -56,6 +56,51 @@
             found = load(environ, replaced=True)
         self.assertEqual((found.discovery, found.listen), (("new", 2), ("old", 1)))
 
+    def test_a_membership_at_fault_is_told_with_its_key(self) -> None:
+        limits = {**SETTINGS["limits"], "may_tell": True}
+        three = {**SETTINGS, "balancers": 3, "limits": limits}
+        peers = [f"127.0.0.1:{port}" for port in (7001, 7002, 7003)]
+        good = {"group": "g", "parts": "leased", "committee": ["a", "b", "c"]}
+        whole: dict[str, Any] = {"settings": three, "peer_listen": peers[0], "peers": peers}
+        whole["membership"] = good
+        found = self.read(**whole).membership
+        assert found is not None
+        self.assertEqual((found.address, found.committee), (("127.0.0.1", 7001), ("a", "b", "c")))
+        with tempfile.NamedTemporaryFile() as short:
+            short.write(b"too short")
+            short.flush()
+            faults: list[tuple[dict[str, Any], str]] = [
+                ({"membership": {}}, "membership.group"),
+                ({"membership": {**good, "colour": 1}}, "membership.colour"),
+                ({"membership": {**good, "period_ms": 1}}, "membership.period_ms"),
+                ({"membership": {**good, "parts": "shared"}}, "membership.parts"),
+                ({"membership": {**good, "committee": ["a", "b"]}}, "membership.committee"),
+                ({"membership": {**good, "committee": ["a", "b", "b"]}}, "membership.committee"),
+                ({"membership": {**good, "lease_ms": 100}}, "membership.lease_ms"),
+                ({"membership": {**good, "clock_ms": 400}}, "membership.clock_ms"),
+                ({"membership": {**good, "seeds": ["no.such.host.invalid:1"]}}, r"membership.seeds\[0\]"),
+                ({"membership": {**good, "address": "127.0.0.9:1"}}, "membership.address"),
+                ({"membership": {**good, "duties": True}}, "membership.duties"),
+                ({"membership": {**good, "key_file": short.name}}, "membership.key_file"),
+                ({"membership": {**good, "key_file": "/nowhere/key"}}, "membership.key_file"),
+                ({"peer_listen": ""}, "peer_listen"),
+                ({"peers": []}, "peers"),
+                ({"peers": peers[:2]}, "peers"),
+                ({"settings": {**three, "limits": SETTINGS["limits"]}}, "membership"),
+            ]
+            for changes, key in faults:
+                with self.subTest(key), self.assertRaisesRegex(ConfigError, key):
+                    self.read(**{**whole, **changes})
+        with self.assertRaisesRegex(ConfigError, "membership"):
+            self.read({"GW_FD": "7"}, **whole)
+
+    def test_modes_and_levels_that_nobody_knows_are_told(self) -> None:
+        with self.assertRaisesRegex(ConfigError, "discovery.*'gossip'"):
+            self.read(settings={**SETTINGS, "discovery": "gossip"})
+        with self.assertRaisesRegex(ConfigError, "log_level.*'loud'"):
+            self.read(log_level="loud")
+        self.assertEqual(self.read(log_level="TRACE").log_level, "trace")
+
     def test_idle_destinations_are_closed_well_before_they_close_themselves(self) -> None:
         limits = {**SETTINGS["limits"], "idle_close_ms": 8000.0}
         self.assertLessEqual(self.read(settings={**SETTINGS, "limits": limits}).limits.idle_ms, 4000.0)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -100,3 +100,18 @@
         d.step(5, [])
     with pytest.raises(TypeError, match="str"):
         d.step(12, ["a"])  # type: ignore[list-item]
+
+
+def test_while_more_jobs_are_held_than_out_an_answer_has_to_be_surer() -> None:
+    """A late answer moves what a job is taken to need by more, and a job that may be late waits for no
+    slot.
+    """
+
+    def moved(crowd: int) -> float:
+        d = started(1)
+        [sent] = sends(d.step(10.0, [job(f"j{i}") for i in range(crowd)]))
+        d.step(11.0, [])  # the crowd is seen
+        d.step(700.0, [outcome(sent, SERVED)])  # a job of 100 ms
+        return d.table.overhead
+
+    assert moved(1) < moved(8) <= 20.0
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,6 +12,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from pebbledrift.membership.conduct import conduct
 from pebbledrift.membership.endpoint import Endpoint
 from pebbledrift.membership.group import (
     Address,
@@ -26,6 +27,7 @@
     unpack,
 )
 from pebbledrift.membership.seal import MAC, Forged, Sealer
+from pebbledrift.membership.view import Standing, View
 from tests.network import Network
 
 KEY, OTHER = b"k" * 16, b"o" * 32
@@ -315,3 +317,52 @@
                 world.start(name)
         self.assertLess(world.network.until(world.agree, 60_000), 60_000)
         look()
+
+
+class ViewTest(unittest.TestCase):
+    """How sure a member is, with five members of which it has heard some."""
+
+    def setUp(self) -> None:
+        self.group = Group("a", ("10.0.0.1", 1), [], Times(), 1, 1)
+        self.view = View(self.group, 5, 3000.0, 5000.0, 0.0)
+
+    def hear(self, now: float, *names: str) -> None:
+        for name in names:
+            address = "10.0.0.2", ord(name)
+            message = Message(Kind.ACK, 0, "", (Claim(name, address, 0, State.ALIVE, 7),))
+            self.group.received(now, name, 7, address, message)
+
+    def stands(self, now: float, standing: Standing) -> None:
+        self.view.update(now)
+        self.assertIs(self.view.standing, standing, self.view.cause)
+
+    def test_the_four_words_and_what_is_done_in_each(self) -> None:
+        self.stands(100.0, Standing.UNSURE)
+        self.hear(200.0, "b", "c")
+        self.stands(300.0, Standing.UNSURE)  # it may not have been told of all
+        self.stands(3100.0, Standing.PARTED)
+        self.assertEqual((self.view.part, self.view.whole), (3, 5))
+        self.hear(3200.0, "b", "c", "d", "e")
+        self.stands(3300.0, Standing.WHOLE)
+        self.group._hold(replace(self.group.members["e"].claim, state=State.DEAD), 3400.0, "c")
+        self.stands(3500.0, Standing.PARTED)
+        self.assertIn("dead: e", self.view.cause)
+        self.group._hold(replace(self.group.members["e"].claim, state=State.LEFT), 3600.0, "e")
+        self.stands(3700.0, Standing.WHOLE)  # one that left is not missed
+        self.assertEqual((self.view.part, self.view.last_whole), (4, 4))
+        self.stands(8300.0, Standing.ALONE)  # heard nobody, long before any death is sure
+        known = {m.name: m for m in self.view.members(8300.0)}
+        self.assertEqual((known["e"].state, known["e"].by), ("left", "e"))
+        self.assertEqual(known["b"].heard_ms, 5100.0)
+        self.group.tick(8300.0)
+        self.group.tick(20_000.0)  # it was stopped in between
+        self.stands(20_000.0, Standing.UNSURE)
+        self.hear(20_010.0, "b")
+        self.stands(20_020.0, Standing.WHOLE)
+        self.view.outdone = True
+        self.stands(20_030.0, Standing.UNSURE)
+        rows = {standing: conduct(standing) for standing in Standing}
+        self.assertEqual([r.lease_more for r in rows.values()], [True, True, False, False])
+        self.assertEqual([r.duties for r in rows.values()], [True, True, True, False])
+        self.assertEqual([r.repair for r in rows.values()], [True, True, False, False])
+        self.assertTrue(all(r.turns_by_view is r.tell_alive is r.lease_more for r in rows.values()))
