--- a/bench/groups.py
+++ b/bench/groups.py
@@ -10,7 +10,7 @@
 import random
 from typing import Any
 
-from pebbledrift.membership.group import State
+from pebbledrift.membership.group import State, Times
 from tests.test_duties import UNITS, DutyWorld
 from tests.test_membership import World
 
@@ -82,7 +82,9 @@
     arguments = argparse.ArgumentParser(prog="bench.groups")
     arguments.add_argument("--kills", type=int, default=1000)
     arguments.add_argument("--hours", type=float, default=0.25, help="for each of eight groups")
+    arguments.add_argument("--period", type=float, default=200.0, help="ms between pings")
     given: Any = arguments.parse_args()
+    World.times = Times(period=given.period, ping=0.3 * given.period)
     with mp.get_context("fork").Pool(7) as pool:
         print("| members | all agree after | bytes/s each | datagrams/s each |\n| --- | --- | --- | --- |")
         for size, took, volume, count in pool.map(traffic, (3, 10, 50, 200), chunksize=1):
--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -162,7 +162,7 @@
     address: Address  # where the others find this node
     seeds: tuple[Address, ...] = ()  # some members, beside the peers
     key_file: str = ""  # a secret of at least 16 bytes; without one the group's name alone tells it apart
-    period_ms: float = 500.0  # between pings; all times of the group follow it
+    period_ms: float = 200.0  # between pings; all times of the group follow it
     parts: str = "fixed"  # of the fleet's limits: "fixed", or "leased" from the committee
     committee: tuple[str, ...] = ()  # names of the nodes that grant leases, the same on all nodes
     lease_ms: float = 3000.0
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -41,6 +41,8 @@
 class World:
     """A group on a network."""
 
+    times = Times()
+
     def __init__(self, size: int, seed: int, loss: float = 0.0) -> None:
         self.network = Network(seed, loss)
         self.endpoints: dict[str, Endpoint] = {}
@@ -54,7 +56,7 @@
         """A node starts, or starts again."""
         self.starts += 1
         sealer = Sealer(name, [KEY], bytes_of(self.starts))
-        group = Group(name, self.places[name], self.seeds, Times(), self.starts, sealer.life)
+        group = Group(name, self.places[name], self.seeds, self.times, self.starts, sealer.life)
         endpoint = self.endpoints[name] = Endpoint(group, sealer)
         self.network.add(self.places[name], endpoint)
 
