Where late answers earn nothing, and only there, an answer has to be surer in a crowd

At fault: brain.py `place`, CROWDED_AT for any deployment. Change: only where no class's late answer earns anything.

--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -34,8 +34,8 @@
 RUN_MS = 500.0  # time from send to outcome before any was seen, and
 RUN_PART = 0.05  # the part that each new one has in its mean
 OVERHEAD_STEP_MS = 20.0  # step by which the overhead follows each outcome, towards
-OVERHEAD_AT = 0.6  # the value that this share of the jobs stays under, or, while more are held than are
-CROWDED_AT = 0.85  # out, this one: a job that may be late then takes the slot of one that is surely in time
+OVERHEAD_AT = 0.6  # the value that this share of the jobs stays under, or, where late answers earn nothing,
+CROWDED_AT = 0.85  # this one while more are held than out: a doubtful job then takes the slot of a sure one
 PACE_STEP = 0.1  # the same for the pace, in hints: a dozen slow outcomes show that the fleet is slow
 PACE_MOST = 0.8  # share of a job's slack that the pace may take: a long job must still find a worker
 OVERHEAD_MOST = 0.6  # share of a class's aim that the overhead may take: some must still be tried
@@ -566,7 +566,7 @@
         self.limits: list[tuple[float, int, Job]] = []  # when held jobs must be answered
         self.arrivals = 0
         self.grace = [0.0] * len(settings.classes)  # the longest seen of each class
-        self.wake_at = FOREVER
+        self.wake_at, self.late_worth = FOREVER, any(k.late_worth for k in settings.classes)
         self.quiet_at = NEVER
         self.watching, self.watch_at = False, NEVER if settings.ask_for_list else FOREVER
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -755,8 +755,8 @@
 
     def place(self) -> None:
         """Send held jobs, the head first, as far as free workers are known."""
-        in_vain = 0
-        self.table.at = CROWDED_AT if len(self.held.jobs) > len(self.ledger.out) else OVERHEAD_AT
+        crowd = len(self.held.jobs) > len(self.ledger.out) and not self.late_worth
+        in_vain, self.table.at = 0, CROWDED_AT if crowd else OVERHEAD_AT
         for job in self.held.due(self.now):
             if in_vain >= TRIES_A_STEP:
                 job.retry_at = self.now + RETRY_MS / 2
