--- a/pebbledrift/membership/service.py
+++ b/pebbledrift/membership/service.py
@@ -146,7 +146,10 @@
         self._tick()
 
     def leave(self) -> None:
-        """Go by one's own will: a part of a limit is free at once, and nobody has to find out."""
+        """Go by one's own will: nobody has to find out by silence.
+
+        Its parts are used here no more; for others they are free once their grants have run out.
+        """
         if self._timer is None:
             return
         self._timer.cancel()
@@ -252,8 +255,6 @@
     # -- leases
 
     def _lend(self, now: float) -> None:
-        if self.committee is not None and self.group.stopped_at == now:
-            pass  # its book is by a clock that went on: what it has granted is as it was
         if self.holder is None or now < self._next_lease:
             return
         self._next_lease = now + self.table.lease_ms / 4
@@ -271,7 +272,7 @@
 
     def _unused(self) -> list[int]:
         """Parts of members that are dead or gone, as far as they fall to this one."""
-        if not self.conduct.lease_more or self.view.standing is Standing.UNSURE:
+        if not self.conduct.lease_more:
             return []
         numbers = {address: number for number, address in enumerate(self.config.peers)}
         down = [
