A crowded discovery, a move and a start give a list no time that changes do not have

Cause: Reliance.failed put the end off by 5 s for each call that was turned away, also one that had waited its turn at a discovery that was there, and crowded: a change made meanwhile counts as told 6 s after it was made. closed() gave 10 s after discovery's own end of a watch, failed calls or not. After SIGHUP the watch on the discovery before went on making the list current. A pushed list from before a start served for 0.8 of the grace, though what the agent was told while no process was there counts as told from the first moment. Ruled out: the clock of silence itself (2.4 s and 5 s), and a watch that trickles: only whole lines make it current. Change: a failed call puts the end off only where it was turned away within 300 ms; else the list is relied on no longer than news take from the last moment in which it was known to be whole. A call to another discovery than the present one shows nothing. A pushed list is used once a call to the agent has been up for 500 ms, or has spoken.

--- a/pebbledrift/discovery/follower.py
+++ b/pebbledrift/discovery/follower.py
@@ -53,8 +53,8 @@
         self.discovery = discovery = config.discovery
         self.take = take
         self.rely = rely
-        # what is asked for is relied on once it was; an agent tells what it is pushed
-        self.current = config.discovery is None or not settings.ask_for_list
+        # a list that a start came with is relied on once discovery, or the agent, could have spoken
+        self.current = config.discovery is None
         self._doubt: asyncio.TimerHandle | None = None
         self.rev: int | None = 0  # None: the whole list has to be asked for
         self.heard = discovery is None
@@ -118,6 +118,8 @@
         self.discovery = discovery
         # the other may count its versions differently: changes since one of ours could hide a drain
         self.rev = None
+        self.reliance.moved(self.clock.now_ms())
+        self._look()
         if self._watching is not None:
             self._leave()
             self._leaving, self._watching = self._watching, None
@@ -137,30 +139,38 @@
             self._leaving.cancel()
             self._leaving = None
 
-    def alive(self) -> None:
+    def alive(self, by: Address) -> None:
         """A watch has been heard, and what it said is taken in."""
+        if by != self.discovery:
+            return  # moved on: what the one before does not say shows nothing
         self.reliance.heard(self.clock.now_ms())
         if not self.current:
             self._look()
 
-    def opened(self) -> None:
+    def opened(self, by: Address) -> None:
         """A call has come up."""
+        if by != self.discovery:
+            return
         self.reliance.opened(self.clock.now_ms())
         if not self.current:
             # guards a lapsed list: what an agent holds it says at once, and a drain may be among it
             self._look_in(self.limits.ready_without_watch_ms)
 
-    def closed(self, silent: bool, heard: bool) -> None:
-        """A call is over (Reliance.closed)."""
+    def closed(self, by: Address, silent: bool, heard: bool, took_ms: float) -> None:
+        """A call that had come up is over, so long after it was asked (Reliance.closed)."""
+        if by != self.discovery:
+            return
         self.reliance.closed(self.clock.now_ms(), silent, heard)
-        if self.current:  # only news make a lapsed list current again
+        if not heard:
+            self.failed(by, math.inf if silent else took_ms)
+        elif self.current:  # only news make a lapsed list current again
             self._look()
-        elif not heard:
-            self.failed(False)
 
-    def failed(self, refused: bool) -> None:
-        """A call has failed; `refused`: the other side said so (Reliance.failed)."""
-        self.reliance.failed(self.clock.now_ms(), refused)
+    def failed(self, by: Address, took_ms: float) -> None:
+        """A call has failed after so long (Reliance.failed)."""
+        if by != self.discovery:
+            return
+        self.reliance.failed(self.clock.now_ms(), took_ms)
         if self.current or not self.heard:
             self._look()
 
@@ -188,6 +198,7 @@
                 return  # moved on: a watch on the one before is not renewed
             if logs.traced():
                 logs.trace("discovery", rev=self.rev)
+            asked_ms = self.clock.now_ms()
             try:
                 if self.rev is None:
                     await self._fetch(discovery, host)
@@ -195,7 +206,8 @@
             except OSError as error:
                 log.info("discovery out of reach", extra={"error": str(error)})
                 heard = False
-                self.failed(isinstance(error, ConnectionError))
+                took_ms = self.clock.now_ms() - asked_ms
+                self.failed(discovery, took_ms if isinstance(error, ConnectionError) else math.inf)
             if heard:
                 self.turns.succeeded()
             else:
@@ -214,7 +226,7 @@
         finally:
             call.abort()
         if news is None:
-            raise ConnectionError("no whole list")
+            raise (ConnectionError if call.turned_away else OSError)("no whole list")
         self.rev = 0
         self.told({**news, "all": True}, discovery)
 
@@ -237,6 +249,7 @@
     def __init__(self, limits: Limits) -> None:
         super().__init__(replace(limits, body_bytes=limits.line_bytes), request=False)
         self.ended: asyncio.Future[dict[str, Any] | None] = asyncio.get_running_loop().create_future()
+        self.turned_away = False  # by a status, or by a break: else what came could not be read
 
     def begin(self, target: str, host: str) -> None:
         """Ask."""
@@ -250,6 +263,8 @@
                 news = json.loads(bytes(message.body))
             except (ValueError, RecursionError) as error:
                 log.warning("malformed list from discovery", extra={"error": str(error)})
+        else:
+            self.turned_away = True
         if not self.ended.done():
             # a list without its targets would count as a fleet that has left
             whole = isinstance(news, dict) and isinstance(news.get("targets"), list)
@@ -263,6 +278,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         if not self.ended.done():
+            self.turned_away = True
             self.ended.set_result(None)
 
 
@@ -278,6 +294,7 @@
         self.loop = asyncio.get_running_loop()
         self.ended: asyncio.Future[None] = self.loop.create_future()
         self.timer: asyncio.TimerHandle | None = None
+        self.asked_at = 0.0
 
     def begin(self, target: str, host: str) -> None:
         """Ask for the changes."""
@@ -285,13 +302,13 @@
         self.transport.write(request("GET", target, {"Host": host}))
         self._alive()
         self.begun = True
-        self.follower.opened()
+        self.asked_at = self.loop.time()
+        self.follower.opened(self.discovery)
 
     def message_received(self, message: Message) -> None:
         self.head = message
         if message.status != 200:
             log.info("watch refused", extra={"status": message.status})
-            self.follower.failed(True)
             self.abort()
 
     def fed(self) -> None:
@@ -307,7 +324,7 @@
             if line:
                 self._line(line)
         if lines and self.heard:
-            self.follower.alive()
+            self.follower.alive(self.discovery)
         if self.parser.ended:
             self.abort()
 
@@ -330,7 +347,8 @@
         if self.timer is not None:
             self.timer.cancel()
         if self.begun:
-            self.follower.closed(self.silent, self.heard)
+            took_ms = 1000 * (self.loop.time() - self.asked_at)
+            self.follower.closed(self.discovery, self.silent, self.heard, took_ms)
         if not self.ended.done():
             self.ended.set_result(None)
 
--- a/pebbledrift/discovery/reliance.py
+++ b/pebbledrift/discovery/reliance.py
@@ -11,14 +11,18 @@
 
 import math
 
+# a call that fails sooner was turned away by a service that is down: it had not waited its turn
+DOWN_MS = 300.0
+
 
 class Reliance:
-    """What one node knows of how old its list may be."""
+    """What one node knows of how old its list may be, where discovery is asked."""
 
     def __init__(self, told_ms: float, ask_ms: float) -> None:
-        self.told_ms = told_ms  # of an open watch: news count as told this long after the change
+        self.told_ms = told_ms  # on a watch, or after a failed call, news count as told after this
         self.ask_ms = ask_ms  # of a node that neither watches nor asks
         self.until_ms = math.inf
+        self._known_ms = -math.inf  # up to then nothing can have been told that was not taken in
         self._silent = False
         self._began = False  # with a list of unknown age, and nothing was heard since
 
@@ -26,21 +30,29 @@
         """The node begins with a list known before; it has not asked yet.
 
         That list may be of any age: the machine may have been gone for long, and what was listed meanwhile
-        counts as told. It is not relied on until discovery has spoken, or cannot be reached.
+        counts as told. It is not relied on until discovery has spoken, or is shown to be down.
         """
         self.until_ms, self._began = now_ms, True
 
     def inherited(self, now_ms: float, left_ms: float) -> None:
         """The process before this one has told its list, which may be relied on for so long still."""
         self._began = False
+        self._known_ms = now_ms + left_ms - self.told_ms
         self.until_ms = max(self.until_ms, now_ms + left_ms)
 
+    def moved(self, now_ms: float) -> None:
+        """Discovery is another one from now on: what the one before says or does not say shows nothing."""
+        self._silent = False
+        self._known_ms = now_ms
+        self.until_ms = min(self.until_ms, now_ms + self.told_ms)
+
     def opened(self, now_ms: float) -> None:
         """A call has come up and been asked; nothing was said yet."""
 
     def heard(self, now_ms: float) -> None:
         """A watch is alive: all that was to be told before has been taken in."""
         self._silent = self._began = False
+        self._known_ms = now_ms
         self.until_ms = now_ms + self.told_ms
 
     def closed(self, now_ms: float, silent: bool, heard: bool) -> None:
@@ -52,17 +64,26 @@
         if heard and silent:
             self._silent = True
         elif heard and not self._silent:
+            self._known_ms = now_ms
             self.until_ms = max(self.until_ms, now_ms + self.ask_ms)
 
-    def failed(self, now_ms: float, refused: bool) -> None:
-        """A call has failed; `refused`: discovery or its machine said so.
+    def failed(self, now_ms: float, took_ms: float) -> None:
+        """A call has failed after so long; infinite where it was given up here.
 
-        Discovery could not be reached then, and what it has to tell counts as told some time after it can be.
+        One that is turned away at once shows that discovery is down: what it has to tell counts as told some
+        time after it can be reached again. One that had to wait shows nothing but a crowd, and what discovery
+        has counts as told all the same, some time after it was made.
         """
-        # guards a list that has lapsed: only news make it current again. One that a start came with is all
-        # that there is while discovery cannot be reached (docs/guarantees.md counts it among the bets)
-        if self._began or (refused and not self._silent and now_ms < self.until_ms):
-            self.until_ms = max(self.until_ms, now_ms + self.told_ms)
+        down = took_ms < DOWN_MS
+        if self._began:
+            # all that there is while discovery is down (docs/guarantees.md counts it among the bets)
+            self.until_ms = now_ms + self.told_ms if down else self.until_ms
+        elif down and not self._silent and now_ms < self.until_ms:
+            self._known_ms = now_ms
+            self.until_ms = now_ms + self.told_ms
+        else:
+            # guards a list that has lapsed: only news make it current again
+            self.until_ms = min(self.until_ms, self._known_ms + self.told_ms)
 
 
 class PushedReliance(Reliance):
@@ -71,19 +92,25 @@
     What the agent holds counts as told to the node, and nothing else does (PROTOCOL, "Discovery"). It says at
     once what it holds and is silent while it is pushed nothing, so that the list is current for as long as a
     call to it is up, however long it says nothing. Without a call it may hold a drain that was not read: the
-    list is relied on for the grace that drains have, less a margin for what is on its way out.
+    list is relied on for the grace that drains have, less a margin for what is on its way out. That holds
+    from the first moment of a process: the list that a start came with is used once a call is up.
     """
 
     MARGIN = 0.2  # share of the grace that is left for sends under way
+    MOVED_MS = 3000.0  # what the next agent holds counts as told 4 s after a new configuration
 
     def __init__(self, grace_ms: float) -> None:
         super().__init__(grace_ms, grace_ms)
         self.left_ms = grace_ms * (1 - self.MARGIN)
-        self._up = 0  # calls that are up; two while discovery moves
+        self._up = 0  # calls to this agent that are up
         self._before_ms = math.inf  # until when, before the first of these came up
 
     def begun(self, now_ms: float) -> None:
-        self.until_ms = self._before_ms = now_ms + self.left_ms
+        self.until_ms = self._before_ms = now_ms
+
+    def moved(self, now_ms: float) -> None:
+        self._up = 0
+        self.until_ms = self._before_ms = min(self.until_ms, now_ms + self.MOVED_MS)
 
     def opened(self, now_ms: float) -> None:
         if self._up == 0:
@@ -102,6 +129,6 @@
                 # guards against calls that come up and break, one after the other: they show nothing
                 self.until_ms = min(self.until_ms, self._before_ms)
 
-    def failed(self, now_ms: float, refused: bool) -> None:
-        if refused and self._up == 0:
+    def failed(self, now_ms: float, took_ms: float) -> None:
+        if took_ms < math.inf and self._up == 0:
             self.until_ms = min(self.until_ms, now_ms + self.left_ms)
