An ending process waits for slow readers, and a bounded moment for last answers

Seen by reading: FrontServer.flushed waited for every connection in its end, so that bad clients that keep coming could have held an ending process for unread_ms (8 s).

--- a/pebbledrift/net/client_connection.py
+++ b/pebbledrift/net/client_connection.py
@@ -111,6 +111,11 @@
         """Whether all that was written has left the process."""
         return self.transport is None or not self.transport.get_write_buffer_size()
 
+    @property
+    def finishing(self) -> bool:
+        """Whether its last answer has been written and it is about to close."""
+        return isinstance(self.ending, LastAnswer)
+
     def present(self) -> bool:
         """Whether the client is still there; one that has left is let go of."""
         if self.transport is None or self.transport.is_closing():
--- a/pebbledrift/net/front.py
+++ b/pebbledrift/net/front.py
@@ -16,6 +16,7 @@
 log = logging.getLogger(__name__)
 
 FLUSH_LOOK_S = 0.02  # between looks whether last answers are out
+RESTS = 3  # times that a last answer has to be read, for which an ending process waits at most
 
 
 def listening_socket(address: Address, backlog: int) -> socket.socket:
@@ -107,10 +108,15 @@
         self._take_in(accepted, ClientConnection(self, spare=False, came_over=(fields, data)))
 
     async def flushed(self) -> None:
-        """Wait until last answers are out, and have had a moment to be read, within `unread_ms`."""
-        until = self._loop.time() + self.limits.unread_ms / 1000
-        while any(c.ending is not None or not c.flushed for c in self.sockets):
-            if self._loop.time() >= until:
+        """Wait until all answers are out, and the last ones have had a moment to be read.
+
+        Bounded: by `unread_ms` for clients that read slowly, and by a few such moments where more keep coming.
+        """
+        began = self._loop.time()
+        moment, most = RESTS * self.limits.linger_answer_ms / 1000, self.limits.unread_ms / 1000
+        while (waited := self._loop.time() - began) < most:
+            written = all(connection.flushed for connection in self.sockets)
+            if written and (waited >= moment or not any(c.finishing for c in self.sockets)):
                 return
             await asyncio.sleep(FLUSH_LOOK_S)
 
