--- a/pebbledrift/net/front.py
+++ b/pebbledrift/net/front.py
@@ -110,7 +110,7 @@
     async def flushed(self) -> None:
         """Wait until all answers are out, and the last ones have had a moment to be read.
 
-        Bounded: by `unread_ms` for clients that read slowly, and by a few such moments where more keep coming.
+        Bounded: by `unread_ms` for clients that read slowly, by a few such moments where more keep coming.
         """
         began = self._loop.time()
         moment, most = RESTS * self.limits.linger_answer_ms / 1000, self.limits.unread_ms / 1000
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import signal
 import socket
 import threading
+import unittest
 
+from pebbledrift.config import Limits
+from pebbledrift.net.client_connection import ClientConnection
+from pebbledrift.net.front import FrontServer
+from pebbledrift.net.http import Message
+from pebbledrift.net.link import Fields
 from tests.late_worker import read_answers
 from tests.node import WAIT, NodeTest, Server, Worker, ask, eventually
 from tests.test_write_checks import keep, post
@@ -109,3 +116,31 @@
             client.sendall(b"y" * 65536)
     except OSError:
         pass
+
+
+class HandlerFaultTest(unittest.IsolatedAsyncioTestCase):
+    """A front that fails in the middle of a request, behind a real connection."""
+
+    async def test_a_fault_of_our_own_is_answered_and_what_it_held_is_let_go_of(self) -> None:
+        gone: list[ClientConnection] = []
+
+        class Faulty:
+            def handle(self, connection: ClientConnection, message: Message) -> None:
+                raise RuntimeError("a fault of ours")
+
+            def gone(self, connection: ClientConnection) -> None:
+                gone.append(connection)
+
+            def adopt(self, connection: ClientConnection, message: Message, job: Fields) -> None:
+                raise NotImplementedError
+
+        server = FrontServer(Limits(), Faulty())
+        address = server.listen(("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(post("a"))
+        with self.assertLogs("pebbledrift", "ERROR"):
+            data = await asyncio.wait_for(reader.read(), WAIT)
+        self.assertTrue(data.startswith(b"HTTP/1.1 500"))
+        self.assertEqual(len(gone), 1)
+        writer.close()
+        server.close()
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -89,3 +89,38 @@
         may_end.set()
         self.assertEqual(answer.get(timeout=20)[::2], (200, b"unheard"))
         self.assertIn("unheard", other.taken)
+
+    def test_a_job_that_began_before_its_202_goes_again_only_once_the_connection_has_ended(self) -> None:
+        heard, may_end = threading.Event(), threading.Event()
+
+        def early(worker: Worker, request: Server, job: str) -> None:
+            if job in ("marker", "lively"):
+                begin(worker, request, job)
+                return
+            worker.call(job, "started")
+            request.connection.recv(1)  # no 202: what the node says or ends next
+            heard.set()
+            may_end.wait(20)
+            request.drop()
+
+        first, other = Worker("s-1", early), Worker("s-2", serve)
+        family = {"tells_start": True, "progress_ms": 100.0}
+        limits = {"accept_again_ms": 60_000, "accept_ms": 60_000}
+        node, discovery = self.platform(first, node=limits, family_info=family)
+        other.node = node.address
+        self.addCleanup(other.close)
+        answers = [node.later("lively"), node.later("quiet", "fechamento", 20.0)]
+        eventually(lambda: {"lively", "quiet"} <= first.taken)
+        discovery.change(other.target())
+
+        def heard_of() -> bool:
+            first.call("lively", "running", share=0.5)
+            return heard.is_set()
+
+        eventually(heard_of)
+        self.assertEqual(node.job("marker")[::2], (200, b"marker"))
+        self.assertNotIn("quiet", other.taken)
+        may_end.set()
+        self.assertEqual(answers[1].get(timeout=20)[::2], (200, b"quiet"))
+        first.call("lively", "done", result="lively")
+        self.assertEqual(answers[0].get(timeout=20)[0], 200)
