--- a/pebbledrift/net/destinations.py
+++ b/pebbledrift/net/destinations.py
@@ -148,9 +148,7 @@
             connection.transport.write(data[:-1])
             loop.call_later(connection.pool.round_trip(), self._complete)
         else:
-            self.written = True
-            connection.transport.write(data)
-            self.left()
+            self._write_whole(connection, data)
 
     def _complete(self) -> None:
         connection = self.connection
@@ -162,8 +160,13 @@
             connection.abort()
             self._end(None, api.OutcomeKind.NOT_SENT)
             return
-        self.written = True
-        connection.transport.write(self.last)
+        self._write_whole(connection, self.last)
+
+    def _write_whole(self, connection: Connection, data: bytes) -> None:
+        """Write up to the last byte. A write that fails at once has written nothing of it."""
+        assert connection.transport is not None
+        connection.transport.write(data)
+        self.written = not connection.transport.is_closing()
         self.left()
 
     def left(self) -> None:
--- a/tests/node.py
+++ b/tests/node.py
@@ -15,9 +15,10 @@
 import tempfile
 import threading
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any
 
 WAIT = 20.0  # seconds until a condition that never comes fails a test
@@ -203,10 +204,12 @@
 class NodeTest(unittest.TestCase):
     """Starts nodes and ends what it started."""
 
+    environ: Mapping[str, str] = MappingProxyType({})  # beside the usual variables of the nodes' environment
+
     def start(
         self, folder: str | None = None, listener: socket.socket | None = None, **config: Any
     ) -> Node:
-        node = Node(folder or self.folder(), config, listener)
+        node = Node(folder or self.folder(), config, listener, self.environ)
         self.addCleanup(node.kill)
         return node
 
@@ -236,13 +239,20 @@
 class Node:
     """One process of the program; the ports are read from its log."""
 
-    def __init__(self, folder: str, config: dict[str, Any], listener: socket.socket | None = None) -> None:
+    def __init__(
+        self,
+        folder: str,
+        config: dict[str, Any],
+        listener: socket.socket | None = None,
+        environ_more: Mapping[str, str] = MappingProxyType({}),
+    ) -> None:
         self.path = Path(folder) / "config.json"
         self.config = {"name": "n0", "seed": "ab", **config}
         self.path.write_text(json.dumps(self.config))
         command = [sys.executable, "-m", "pebbledrift", "--config", str(self.path)]
         environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
         environ["TMPDIR"] = folder
+        environ |= environ_more
         inherited: tuple[int, ...] = ()
         if listener is not None:
             inherited = (listener.fileno(),)
