--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -61,7 +61,7 @@
         worker = Worker("s-1", serve)
         plan = [{"call": "connect", "port": port(worker), "times": 2, "errno": "EMFILE"}]
         node, _, _ = self.faulty(plan, worker)
-        # there is no other worker: refused in time, and after two in a row one that fails is left alone for 3 s
+        # there is no other worker; after two failures in a row it would be left alone for 3 s
         self.assertEqual([node.job(f"a{i}")[0] for i in range(2)], [503, 503])
         self.assertEqual(node.figures()["cluster_unhealthy"], 0)
         self.assertEqual(node.job("b")[0], 200)
