--- a/bench/load.py
+++ b/bench/load.py
@@ -330,9 +330,7 @@
             for uid, port in pipe.recv()
         ]
         told = context.Queue()
-        discovery = context.Process(
-            target=lambda: asyncio.run(discover(targets, told.put)), daemon=True
-        )
+        discovery = context.Process(target=lambda: asyncio.run(discover(targets, told.put)), daemon=True)
         discovery.start()
         processes.append(discovery)
         config = {
--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -627,7 +627,7 @@
     if not result.believed_ms > 2 * result.period_ms:
         raise ConfigError("fleet_limits.believed_ms: more than two times period_ms")
     if result.lend_turns and table_of(config["membership"], "membership").get("parts", "fixed") != "fixed":
-        raise ConfigError('fleet_limits.lend_turns: of fixed parts (membership.parts); leases hand theirs on')
+        raise ConfigError("fleet_limits.lend_turns: of fixed parts (membership.parts); leases hand theirs on")
     hard = next((i for i, limit in enumerate(found) if limit.kind == "hard"), None)
     if hard is not None:
         group = table_of(config["membership"], "membership")
@@ -680,9 +680,7 @@
     rate = amount(entry.get("rate", quota), f"{where}rate")
     if not 0 < rate <= 60_000:
         raise ConfigError(f"{where}rate: jobs a second, above 0 and up to 60,000, not {rate:g}")
-    return LimitConfig(
-        name, kind, rate, 0.0, number, classes.index(job_class) if job_class else None, over
-    )
+    return LimitConfig(name, kind, rate, 0.0, number, classes.index(job_class) if job_class else None, over)
 
 
 def read_store(config: Mapping[str, Any], name: str) -> StoreConfig | None:
--- a/pebbledrift/fronts/beanstalk.py
+++ b/pebbledrift/fronts/beanstalk.py
@@ -858,5 +858,3 @@
             "pause-time-left": max(0, int((until - now) / 1000)),
         }
         self._table(session, values)
-
-
--- a/pebbledrift/limits/book.py
+++ b/pebbledrift/limits/book.py
@@ -238,9 +238,7 @@
 
     # -- the others
 
-    def tick(
-        self, now: float, alive: tuple[str, ...], whole: int, held: int, until: float
-    ) -> list[Send]:
+    def tick(self, now: float, alive: tuple[str, ...], whole: int, held: int, until: float) -> list[Send]:
         """Time has gone on. `alive`: members that answer, this one included; `whole`: that there should be;
         `held`: parts of the fleet's limits that are this node's under leases, and until when.
         """
--- a/pebbledrift/limits/escrow.py
+++ b/pebbledrift/limits/escrow.py
@@ -64,9 +64,7 @@
     not touched for one loan.
     """
 
-    def __init__(
-        self, base: int, loan_ms: float, start: float, quiet: bool, draw: Callable[[], int]
-    ) -> None:
+    def __init__(self, base: int, loan_ms: float, start: float, quiet: bool, draw: Callable[[], int]) -> None:
         self.loan_ms = loan_ms
         self.draw = draw
         self.lent: dict[tuple[str, int], Loan] = {}  # by borrower and number
--- a/pebbledrift/limits/soft.py
+++ b/pebbledrift/limits/soft.py
@@ -79,9 +79,7 @@
         while len(self._samples) > 1 and now - self._samples[1][0] >= self.settle_ms:
             self._samples.popleft()
 
-    def share(
-        self, now: float, limit: float, known: Known | None, whole: int, answering: int = 1
-    ) -> float:
+    def share(self, now: float, limit: float, known: Known | None, whole: int, answering: int = 1) -> float:
         """This node's share of a limit of so many jobs a second, between 0 and 1.
 
         `known` is None where nobody was heard for believed_ms; `whole`: nodes that there should be;
--- a/pebbledrift/membership/endpoint.py
+++ b/pebbledrift/membership/endpoint.py
@@ -114,9 +114,7 @@
             return []
         return [(sender, self.sealer.seal(CHALLENGE + self.sealer.challenge(opened)))]
 
-    def _of_my_name(
-        self, now: float, opened: Opened, form: bytes, body: bytes, sender: Address
-    ) -> Datagrams:
+    def _of_my_name(self, now: float, opened: Opened, form: bytes, body: bytes, sender: Address) -> Datagrams:
         """Another life of this name: a recording of an earlier one, or a second process that runs."""
         if form == PROOF:
             if not opened.fresh and self.sealer.proves(opened, body):
--- a/pebbledrift/membership/service.py
+++ b/pebbledrift/membership/service.py
@@ -233,9 +233,7 @@
         if not self.conduct.turns_by_view:
             return settings.me, settings.dispatchers
         up = (State.ALIVE, State.SUSPECT)
-        names = sorted(
-            [self.config.name, *(n for n, m in self.group.members.items() if m.claim.state in up)]
-        )
+        names = sorted([self.config.name, *(n for n, m in self.group.members.items() if m.claim.state in up)])
         return names.index(self.config.name), len(names)
 
     def _twin(self) -> None:
--- a/pebbledrift/membership/view.py
+++ b/pebbledrift/membership/view.py
@@ -53,9 +53,7 @@
 class View:
     """One member's view. `expected`: how many members there should be; 0 where only the group can tell."""
 
-    def __init__(
-        self, group: Group, expected: int, settle_ms: float, silent_ms: float, now: float
-    ) -> None:
+    def __init__(self, group: Group, expected: int, settle_ms: float, silent_ms: float, now: float) -> None:
         self.group = group
         self.expected = expected
         self.settle_ms = settle_ms  # a start, or a stop, is over after this whatever was heard
--- a/pebbledrift/net/client_connection.py
+++ b/pebbledrift/net/client_connection.py
@@ -50,9 +50,7 @@
 class ClientConnection(HttpProtocol):
     """Bytes behind the request that is being served wait unparsed; beyond a bound they wait in the kernel."""
 
-    def __init__(
-        self, server: Table, spare: bool, came_over: tuple[Fields, bytes] | None = None
-    ) -> None:
+    def __init__(self, server: Table, spare: bool, came_over: tuple[Fields, bytes] | None = None) -> None:
         super().__init__(server.limits, request=True)
         self.server = server
         self.spare = spare  # beyond the table: for a call-back, or a busy reply
--- a/pebbledrift/node.py
+++ b/pebbledrift/node.py
@@ -70,9 +70,7 @@
                 config, self.clock, lambda: self.pool.known, lambda: self.pool.entries.values()
             )
             self.pool.listeners.append(self.fleet.list_changed)
-        self.engine = Engine(
-            config.settings, config.limits, self.clock, config.seed, self.pool, neighbours
-        )
+        self.engine = Engine(config.settings, config.limits, self.clock, config.seed, self.pool, neighbours)
         self.pool.engine = self.engine
         self.stopping = asyncio.Event()
         began = self.clock.now_ms()
--- a/pebbledrift/verdicts/panel.py
+++ b/pebbledrift/verdicts/panel.py
@@ -411,4 +411,3 @@
 
 def _hash(name: str, key: Key) -> bytes:
     return hashlib.blake2b(f"{name}\0{key[0]}\0{key[1]}".encode(), digest_size=8).digest()
-
--- a/rig/processes.py
+++ b/rig/processes.py
@@ -57,8 +57,14 @@
         self.lives += 1
         self.ending = None
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "pebbledrift", "--config", str(self.path),
-            stderr=asyncio.subprocess.PIPE, stdin=asyncio.subprocess.DEVNULL, env=environ,
+            sys.executable,
+            "-m",
+            "pebbledrift",
+            "--config",
+            str(self.path),
+            stderr=asyncio.subprocess.PIPE,
+            stdin=asyncio.subprocess.DEVNULL,
+            env=environ,
         )
         self._reading = asyncio.create_task(self._read(self.process))
         await asyncio.wait_for(self._told.wait(), START_S)
--- a/rig/world.py
+++ b/rig/world.py
@@ -184,11 +184,7 @@
 
     def fronts(self) -> dict[str, Place]:
         """The nodes that take clients now."""
-        return {
-            name: node.places["listening"]
-            for name, node in self.nodes.items()
-            if node.takes_clients
-        }
+        return {name: node.places["listening"] for name, node in self.nodes.items() if node.takes_clients}
 
     async def do(self, step: Step) -> None:
         """Have one fault happen."""
--- a/tests/node.py
+++ b/tests/node.py
@@ -206,9 +206,7 @@
 
     environ: Mapping[str, str] = MappingProxyType({})  # beside the usual variables of the nodes' environment
 
-    def start(
-        self, folder: str | None = None, listener: socket.socket | None = None, **config: Any
-    ) -> Node:
+    def start(self, folder: str | None = None, listener: socket.socket | None = None, **config: Any) -> Node:
         node = Node(folder or self.folder(), config, listener, self.environ)
         self.addCleanup(node.kill)
         return node
@@ -315,11 +313,11 @@
 
     def reload(self, **changes: Any) -> None:
         """Replace the configuration, and SIGHUP; returns once the node has said what it made of it."""
-        told = sum("event=\"configuration " in line for line in self.log)
+        told = sum('event="configuration ' in line for line in self.log)
         text = json.dumps({**self.config, **changes}) if changes else "{"
         self.path.write_text(text)
         self.process.send_signal(signal.SIGHUP)
-        eventually(lambda: sum("event=\"configuration " in line for line in self.log) > told)
+        eventually(lambda: sum('event="configuration ' in line for line in self.log) > told)
 
     def terminate(self) -> int:
         """SIGTERM, and the exit code."""
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -44,9 +44,7 @@
         asyncio.get_running_loop().set_debug(False)
 
     @contextlib.asynccontextmanager
-    async def rig(
-        self, nodes: int, extra: dict[str, Any] | None = None, **plan: Any
-    ) -> AsyncIterator[Rig]:
+    async def rig(self, nodes: int, extra: dict[str, Any] | None = None, **plan: Any) -> AsyncIterator[Rig]:
         with tempfile.TemporaryDirectory() as folder:
             rig = Rig(Plan(nodes=nodes, **plan), Path(folder), extra)
             try:
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -127,7 +127,6 @@
             self.assertIn("node=n2", said[0])
             await load
 
-
     async def test_a_rate_changes_while_nodes_run_and_more_holds_once_the_last_has_it(self) -> None:
         entry = {"tenant": "acme", "kind": "hard"}
         async with self.rig(3, seconds=MOST_S, rate=60.0, extra=limits(entry), **self.PLAN) as rig:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -246,8 +246,14 @@
 
     def module(self, me: int, nodes: int) -> Dispatcher:
         known = module_settings(
-            dispatchers=nodes, me=me, nominal_weights=True, tells_start=True,
-            cold_share=0.12, cold_ms=24_000.0, fall_multiple=4.0, fall_ms=1000.0,
+            dispatchers=nodes,
+            me=me,
+            nominal_weights=True,
+            tells_start=True,
+            cold_share=0.12,
+            cold_ms=24_000.0,
+            fall_multiple=4.0,
+            fall_ms=1000.0,
         )
         return Dispatcher(known, seed=me)
 
