--- a/pebbledrift/discovery/reliance.py
+++ b/pebbledrift/discovery/reliance.py
@@ -68,8 +68,8 @@
         """A call has failed; `refused`: it was turned away, and not given up here.
 
         What discovery has to tell counts as told some time after it can be reached. One that is down and one
-        that is crowded turn calls away alike, and after the same wait: the former is taken here, which is among
-        the bets of docs/guarantees.md. A call that was given up here shows nothing.
+        that is crowded turn calls away alike, and after the same wait: the former is taken here, which is
+        among the bets of docs/guarantees.md. A call that was given up here shows nothing.
         """
         if self._began:
             # all that there is while discovery is down
