A change of the list costs no look at all workers, and those that left are forgotten

Seen: at 3,400 workers one change cost the module 200 us and the next job of each slice 0.3 ms more (CAPACITY.md); 3,000 replaced machines left 3,020 workers in the module, and their closed pools and names in the node, for as long as it ran. Occupancy reports of nodes that started on the other side of a step of the wall clock were passed over until a restart. At fault: WorkerTable.take_list (cleared all), pool() (looked at all), cold_ones(); PoolConfig._drop (kept the destination), PoolConfig.known, Fills._workers; FleetNeighbours._places (all workers for each word of a part); Fills.take and Parts.take, which compared clocks fixed at each node's start. Change: indexes by slice and part that follow the list's entries; workers that left are forgotten after 60 s unless a job is out there; the time of telling is the wall clock as it is now, and a word from before a step hides none after it.

--- a/bench/peers.py
+++ b/bench/peers.py
@@ -30,7 +30,7 @@
     while time.monotonic() < until:
         time.sleep(draw.expovariate((nodes - 1) * TOLD_A_SECOND))
         fills.filled(draw.choice(WORKERS), draw.choice((1.0, -1.0)))
-        data = fills.tell(time.time() * 1000)
+        data = fills.tell(time.monotonic() * 1000, time.time() * 1000)
         if data is not None:
             end.sendto(data, where)
 
@@ -43,13 +43,13 @@
         peers = PeerSocket(limits, (end.getsockname(),))
         fills = Fills(limits.datagram_bytes, limits.fills_again_ms, limits.fills_believed_ms)
         for worker in WORKERS:
-            fills.know([worker])
+            fills.know(worker)
         heard = 0
 
         def take(data: bytes, peer: tuple[str, int]) -> None:
             nonlocal heard
             heard += 1
-            fills.take(1, data, time.time() * 1000)
+            fills.take(1, data, time.monotonic() * 1000, time.time() * 1000)
 
         peers.readers[FORM] = take
         where = peers.listen(("127.0.0.1", 0), shared=False)
@@ -62,7 +62,7 @@
         while time.monotonic() < until:
             await asyncio.sleep(1 / STEPS_A_SECOND)
             peers.read()
-            fills.news(time.time() * 1000)
+            fills.news(time.monotonic() * 1000)
         used = time.process_time() - began
         os.waitpid(child, 0)
         peers.close()
--- a/pebbledrift/core/clock.py
+++ b/pebbledrift/core/clock.py
@@ -8,7 +8,7 @@
 class Clock:
     """Milliseconds since the Unix epoch, as they were at the start.
 
-    All spans of time are measured by `now_ms`. What has to agree with other machines uses `ahead_ms`.
+    All spans of time are measured by `now_ms`. What has to agree with other machines uses `common_ms`.
     """
 
     def __init__(self, offset: float | None = None) -> None:
@@ -22,3 +22,7 @@
     def ahead_ms(self) -> float:
         """How far the wall clock, which all machines read alike, is ahead of this one: it may be stepped."""
         return time.time() * 1000.0 - self.now_ms()
+
+    def common_ms(self) -> float:
+        """The wall clock, which all machines read alike. It may be stepped: no span is measured by it."""
+        return time.time() * 1000.0
--- a/pebbledrift/fleet/fills.py
+++ b/pebbledrift/fleet/fills.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
 
 FORM = 0x46  # no kind of the store's datagrams
 HEAD = 2
@@ -23,7 +22,11 @@
 
 
 class Fills:
-    """The table of one node. Times are milliseconds of a clock that all nodes read alike."""
+    """The table of one node.
+
+    Times are milliseconds: `now_ms` of this node's own clock, `common_ms` of one that
+    all nodes read alike, which may be stepped.
+    """
 
     def __init__(self, datagram_bytes: int, again_ms: float, believed_ms: float) -> None:
         self.entries_most = (datagram_bytes - HEAD) // 2
@@ -56,7 +59,7 @@
         """Whether the others were told of anything that has not ended yet."""
         return bool(self._told)
 
-    def tell(self, now_ms: float) -> bytes | None:
+    def tell(self, now_ms: float, common_ms: float) -> bytes | None:
         """The next datagram, or None; more may be due than one holds."""
         for name, (_, at) in self._told.items():
             if now_ms - at >= self.again_ms:
@@ -75,7 +78,7 @@
             entries += (name << 4 | slots).to_bytes(2, "big")
         if not entries:
             return None
-        return bytes([FORM, int(now_ms / UNIT_MS) & 0xFF]) + entries
+        return bytes([FORM, int(common_ms / UNIT_MS) & 0xFF]) + entries
 
     def mine(self, worker: int) -> float:
         """Slots that this node fills at a worker."""
@@ -87,21 +90,30 @@
 
     # -- what the others fill
 
-    def know(self, workers: Iterable[int]) -> None:
-        """These workers may be named from now on."""
-        for worker in workers:
-            self._workers.setdefault(short(worker), set()).add(worker)
-            if self._total.get(short(worker)):
-                self._changed.add(short(worker))
+    def know(self, worker: int) -> None:
+        """This worker may be named from now on."""
+        self._workers.setdefault(short(worker), set()).add(worker)
+        if self._total.get(short(worker)):
+            self._changed.add(short(worker))
+
+    def forget(self, worker: int) -> None:
+        """This worker is not asked for any more."""
+        named = self._workers.get(short(worker), set())
+        named.discard(worker)
+        if not named:
+            self._workers.pop(short(worker), None)
 
-    def take(self, peer: int, data: bytes, now_ms: float) -> None:
+    def take(self, peer: int, data: bytes, now_ms: float, common_ms: float) -> None:
         """A peer's datagram; ValueError if it cannot be read. Old and overtaken ones are passed over."""
         if len(data) < HEAD or data[0] != FORM or (len(data) - HEAD) % 2:
             raise ValueError("not what a peer fills")
-        age = ((int(now_ms / UNIT_MS) - data[1] + 0x80) & 0xFF) - 0x80
-        told_ms = now_ms - age * UNIT_MS
+        age = ((int(common_ms / UNIT_MS) - data[1] + 0x80) & 0xFF) - 0x80
+        told_ms = common_ms - age * UNIT_MS
         # guards against news late by seconds, and a clock that is ahead of ours
-        if abs(now_ms - told_ms) > self.believed_ms or told_ms < self._latest.get(peer, 0.0) - UNIT_MS:
+        if abs(age) * UNIT_MS > self.believed_ms:
+            return
+        # what is older than the latest by more than that was not overtaken: the clock was stepped back
+        if UNIT_MS < self._latest.get(peer, 0.0) - told_ms <= self.believed_ms:
             return
         self._latest[peer] = told_ms
         for at in range(HEAD, len(data), 2):
--- a/pebbledrift/fleet/neighbours.py
+++ b/pebbledrift/fleet/neighbours.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 from pebbledrift.config import Address, Config
@@ -40,21 +40,14 @@
 
     fleet = True
 
-    def __init__(
-        self,
-        config: Config,
-        clock: Clock,
-        known: Callable[[], set[int]],
-        listed: Callable[[], Iterable[api.WorkerEntry]],
-    ) -> None:
+    def __init__(self, config: Config, clock: Clock) -> None:
         limits = config.limits
         self.limits = limits
         self.clock = clock
         self.settings = config.settings
-        self.known = known  # all workers that the list has ever named
-        self.listed = listed  # those that it names now
         self.numbers = {peer: i for i, peer in enumerate(config.peers) if i != config.settings.me}
         parts = self.parts = config.settings.parts
+        self._up: list[dict[int, api.WorkerEntry]] = [{} for _ in range(parts)]  # workers up, by part
         # by part of the fleet: what is filled at its workers, and whom to tell
         self.told = [
             Fills(limits.datagram_bytes, limits.fills_again_ms, limits.fills_believed_ms)
@@ -81,7 +74,6 @@
         # by part, whether an address answers, where that is known: who does not need not be told
         self.answers: Callable[[Address], bool] = lambda peer: True
         self.socket: PeerSocket | None = None
-        self._named = 0
         # by then each node that lives has told again what it fills (Fills.tell)
         self._knows_ms = clock.now_ms() + limits.fills_again_ms + limits.fills_gather_ms + LATE_MS
         self._timer: asyncio.TimerHandle | None = None
@@ -93,7 +85,7 @@
         socket.readers[FORM] = self._received
         if self.rooms is not None:
             socket.readers[PART_FORM] = self._received_room
-            self._room_in(self.rooms.wait_ms(self.clock.now_ms()))
+            self._room_in(self.rooms.wait_ms(self.clock.common_ms()))
 
     def claim(self, job: str) -> Claim:
         """Ids are each node's own."""
@@ -112,7 +104,7 @@
 
     def turn_over(self, turn: int) -> bool:
         """Whether a turn has passed, but for the time that a send takes to begin."""
-        now = self.clock.now_ms() + self.clock.ahead_ms()
+        now = self.clock.common_ms()
         late = now > (turn + 1) * self.settings.fall_ms + TURN_LATE_MS
         return late or (self.lessee is not None and not self.lessee.holds())
 
@@ -129,32 +121,37 @@
         """What has changed of what the other nodes fill."""
         if self.socket is not None:
             self.socket.read()  # the module is about to decide
-        known = self.known()
-        if len(known) != self._named:
-            mine = self.fills
-            mine.know(worker for worker in known if self.told[worker % self.parts] is mine)
-            self._named = len(known)
-        now = self.clock.now_ms()
-        found = tuple(api.Share(w, slots) for w, slots in self.fills.news(now))
+        found = tuple(api.Share(w, slots) for w, slots in self.fills.news(self.clock.now_ms()))
         if self.rooms is None:
             return found
-        rooms = self.rooms.news(now, self._places(now), self._mine)
+        rooms = self.rooms.news(self.clock.common_ms(), self._places, self._mine)
         return found + tuple(api.Share(w, slots) for w, slots in rooms.items())
 
-    def list_changed(self) -> None:
-        """The list names other workers, or other states."""
+    def listed(self, worker: int, entry: api.WorkerEntry | None) -> None:
+        """The list names a worker anew, or no more (None)."""
+        part = worker % self.parts
+        up = self._up[part]
+        if entry is not None and entry.state is api.WorkerState.UP:
+            up[worker] = entry
+        else:
+            up.pop(worker, None)
+        if self.told[part] is self.fills:
+            if entry is not None:
+                self.fills.know(worker)
+            else:
+                self.fills.forget(worker)
         if self.rooms is not None:
-            self.rooms.renew()
+            self.rooms.renew(part)
 
     def _mine(self, worker: int) -> float:
         return self.told[worker % self.parts].mine(worker)
 
-    def _places(self, now: float) -> Iterator[Place]:
-        """The workers up, with their slots by the list."""
-        for e in self.listed():
-            if e.state is api.WorkerState.UP:
-                warm = e.started_ms <= 0 or now - e.since_ms >= self.settings.cold_ms
-                yield Place(e.worker, max(1.0, e.weight), warm)
+    def _places(self, part: int) -> Iterator[Place]:
+        """A part's workers that are up, with their slots by the list."""
+        now = self.clock.now_ms()
+        for e in self._up[part].values():
+            warm = e.started_ms <= 0 or now - e.since_ms >= self.settings.cold_ms
+            yield Place(e.worker, max(1.0, e.weight), warm)
 
     def _room_in(self, delay_ms: float) -> None:
         self._loop.call_later(delay_ms / 1000, self._tell_room)
@@ -164,21 +161,21 @@
         assert self.socket is not None and self.rooms is not None
         if self.socket.closed:
             return
-        now, part = self.clock.now_ms(), self.rooms.part
-        if now < self._knows_ms:
+        common, part = self.clock.common_ms(), self.rooms.part
+        if self.clock.now_ms() < self._knows_ms:
             # guards the part's workers: one that has just started has not heard who fills them
-            self._room_in(self.rooms.wait_ms(now))
+            self._room_in(self.rooms.wait_ms(common))
             return
         self.socket.read()
-        places = [p for p in self._places(now) if p.warm and p.worker % self.parts == part]
+        places = [p for p in self._places(part) if p.warm]
         free = [(p.worker, p.size - self.fills.total(p.worker)) for p in places]
         if any(self.fills.total(p.worker) for p in places):  # a fleet without jobs says nothing
-            data = self.rooms.tell(now, free)
+            data = self.rooms.tell(common, free)
             for other, peers in enumerate(self.to):
                 for peer in peers if other != part else ():
                     if self.answers(peer):
                         self.socket.send(data, peer)
-        self._room_in(self.rooms.wait_ms(now))
+        self._room_in(self.rooms.wait_ms(common))
 
     def _tell_in(self, delay_ms: float) -> None:
         if self.socket is None:
@@ -192,9 +189,9 @@
     def _tell(self) -> None:
         self._timer = None
         assert self.socket is not None
-        now = self.clock.now_ms()
+        now, common = self.clock.now_ms(), self.clock.common_ms()
         for fills, peers in zip(self.told, self.to, strict=True):
-            while (data := fills.tell(now)) is not None:
+            while (data := fills.tell(now, common)) is not None:
                 for peer in peers:
                     if self.answers(peer):
                         self.socket.send(data, peer)
@@ -204,9 +201,9 @@
     def _received(self, data: bytes, peer: Address) -> None:
         number = self.numbers.get(peer)
         if number is not None:  # what is sent to all comes back to its sender too
-            self.fills.take(number, data, self.clock.now_ms())
+            self.fills.take(number, data, self.clock.now_ms(), self.clock.common_ms())
 
     def _received_room(self, data: bytes, peer: Address) -> None:
         number = self.numbers.get(peer)
         if number is not None and self.rooms is not None:
-            self.rooms.take(number, data, self.clock.now_ms())
+            self.rooms.take(number, data, self.clock.common_ms())
--- a/pebbledrift/fleet/parts.py
+++ b/pebbledrift/fleet/parts.py
@@ -43,7 +43,10 @@
 
 
 class Parts:
-    """One node's view of the parts it does not belong to. Times are of a clock that all nodes read alike."""
+    """One node's view of the parts it does not belong to.
+
+    Times are of a clock that all nodes read alike. It may be stepped: what was told before is old then.
+    """
 
     def __init__(
         self, me: int, nodes: int, parts: int, every_ms: float, believed_ms: float, offers: int
@@ -81,7 +84,7 @@
         told_ms = now_ms - age * UNIT_MS
         before = self._heard.get(part)
         # guards against news late by seconds, and a clock that is ahead of ours
-        overtaken = before is not None and told_ms < before.at_ms - UNIT_MS
+        overtaken = before is not None and UNIT_MS < before.at_ms - told_ms <= self.believed_ms
         if overtaken or abs(now_ms - told_ms) > self.believed_ms:
             return
         entries = [int.from_bytes(data[at : at + 2], "big") for at in range(HEAD, len(data), 2)]
@@ -89,12 +92,13 @@
         self._heard[part] = _Heard(told_ms, data[1], free)
         self._changed.add(part)
 
-    def renew(self) -> None:
-        """The list has changed: all parts are looked at again."""
-        self._changed = set(range(self.parts)) - {self.part}
+    def renew(self, part: int) -> None:
+        """The list has changed at a part: its workers are looked at again."""
+        if part != self.part:
+            self._changed.add(part)
 
     def news(
-        self, now_ms: float, places: Iterable[Place], mine: Callable[[int], float]
+        self, now_ms: float, places: Callable[[int], Iterable[Place]], mine: Callable[[int], float]
     ) -> Mapping[int, float]:
         """Slots that others fill at workers of parts that were heard of since the last call.
 
@@ -102,18 +106,14 @@
         twice. Of a part that was not heard of for long, a worker is taken to have one slot left.
         """
         for part, heard in list(self._heard.items()):
-            if now_ms - heard.at_ms > self.believed_ms:
+            if abs(now_ms - heard.at_ms) > self.believed_ms:
                 del self._heard[part]
                 self._changed.add(part)
         if not self._changed:
             return {}
         changed, self._changed = self._changed, set()
         found: dict[int, float] = {}
-        for place in places:
-            part = place.worker % self.parts
-            if part not in changed:
-                continue
-            word = self._heard.get(part)
+        for place, word in [(p, self._heard.get(part)) for part in sorted(changed) for p in places(part)]:
             if not place.warm:
                 found[place.worker] = 0.0
             elif word is None:
--- a/pebbledrift/node.py
+++ b/pebbledrift/node.py
@@ -66,10 +66,8 @@
         self.fleet: FleetNeighbours | None = None
         # in an upgrade two processes have one number, and each would overwrite what the other tells
         if neighbours is None and config.peers and config.settings.may_tell and config.front_fd is None:
-            neighbours = self.fleet = FleetNeighbours(
-                config, self.clock, lambda: self.pool.known, lambda: self.pool.entries.values()
-            )
-            self.pool.listeners.append(self.fleet.list_changed)
+            neighbours = self.fleet = FleetNeighbours(config, self.clock)
+            self.pool.entry_listeners.append(self.fleet.listed)
         self.engine = Engine(config.settings, config.limits, self.clock, config.seed, self.pool, neighbours)
         self.pool.engine = self.engine
         self.stopping = asyncio.Event()
--- a/pebbledrift/pool.py
+++ b/pebbledrift/pool.py
@@ -21,6 +21,9 @@
 
 log = logging.getLogger(__name__)
 
+LEFT_MOST = 16_384  # workers that have left whose names are remembered
+UNKNOWN_MOST = 256  # names that the settings lack, each of which the log is told of once
+
 STATES = {
     "in_service": api.WorkerState.UP,
     "terminating": api.WorkerState.DRAINING,
@@ -58,7 +61,7 @@
         self.extra_entries: tuple[api.WorkerEntry, ...] = ()
         self.entries: dict[int, api.WorkerEntry] = {}  # the list, as told
         self.targets: dict[int, Mapping[str, Any]] = {}  # the same in discovery's words
-        self.known: set[int] = set()  # all that have ever been in it
+        self.left: dict[int, None] = {}  # workers that were in it, as far as is remembered, the latest last
         self.bans: set[str] = set()  # uids that operators have taken out, whatever the list says
         self.fleet_bans: set[str] = set()  # the same by a word for all nodes (verdicts/words.py)
         self.banned: set[int] = set()  # both by number
@@ -69,6 +72,8 @@
         self.unknown: set[str] = set()
         self.incarnations = Incarnations()
         self.listeners: list[Callable[[], None]] = []  # told when the list has changed
+        # told of each entry that has come or changed, and of each worker that has left (None)
+        self.entry_listeners: list[Callable[[int, api.WorkerEntry | None], None]] = []
 
     def find(self, worker: int) -> Destination | None:
         """The destination of this number."""
@@ -119,7 +124,7 @@
     def names(self, uid: str) -> bool:
         """Whether anybody has heard of a worker."""
         worker = worker_number(uid)
-        return worker in self.known or worker in self.listed() or uid in self.bans | self.fleet_bans
+        return worker in self.left or worker in self.listed() or uid in self.bans | self.fleet_bans
 
     def lay_ban(self, uid: str, banned: bool, fleet: bool = False) -> None:
         """The same for a worker of which only the uid may be known; `fleet`: by a word for all nodes."""
@@ -224,8 +229,9 @@
             self._place(worker, address(target["endpoint"], "endpoint"))
         for key, names in (("az", self.config.zones), ("model", self.config.kinds)):
             value = target.get(key)
-            if isinstance(value, str) and value not in names and value not in self.unknown:
-                self.unknown.add(value)
+            strange = isinstance(value, str) and value not in names and value not in self.unknown
+            if strange and len(self.unknown) < UNKNOWN_MOST:
+                self.unknown.add(str(value))
                 log.warning("not in the settings", extra={"key": key, "value": value})
         boot_ms = float(target.get("boot_ms", 0))
         # in full for one that has left too: jobs it may have run stay bound to its zone and cell
@@ -241,7 +247,7 @@
         )
         if state is not api.WorkerState.REMOVED:
             self.entries[worker], self.targets[worker] = entry, target
-            self.known.add(worker)
+            self._tell(worker, entry)
         if logs.traced():
             uid, boot = target["uid"], entry.started_ms
             logs.trace("listed", worker=worker, uid=uid, state=state.name.lower(), boot=boot)
@@ -260,9 +266,22 @@
 
     def _drop(self, worker: int) -> None:
         """The worker has left; attempts still out there end by call-back, by a break or in time."""
-        self.entries.pop(worker, None)
+        if self.entries.pop(worker, None) is not None:
+            self._remember(worker)
+            self._tell(worker, None)
         self.targets.pop(worker, None)
         self.incarnations.forget(worker)
-        known = self.destinations.get(worker)
+        known = self.destinations.pop(worker, None)
         if known is not None:
             known.close()
+
+    def _remember(self, worker: int) -> None:
+        """Guards memory: machines that replace others have new names for as long as the node runs."""
+        self.left.pop(worker, None)
+        self.left[worker] = None
+        while len(self.left) > LEFT_MOST:
+            del self.left[next(iter(self.left))]
+
+    def _tell(self, worker: int, entry: api.WorkerEntry | None) -> None:
+        for listener in self.entry_listeners:
+            listener(worker, entry)
--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -62,6 +62,7 @@
 POOL_MOST = 128  # workers scored for a key; of a larger fleet a key sees its slice, or scoring costs too much
 ORDERS_KEPT = 2048  # rendezvous orders remembered; beyond it all are worked out afresh
 REPEAT_MARGIN_MS = 220.0  # before a repeat window's end: 150 ms that a process may be held, and the way there
+FORGET_MS = 60_000.0  # a worker that has left is remembered for so long: it may come back within a turn
 ASK_AGAIN_SHARE = 0.2  # share of must_ask_in_ms after which a failed subscription is asked for again
 FOREVER, NEVER = 1e18, -1e18
 MASK, ODD = (1 << 64) - 1, 0x9E3779B97F4A7C15
@@ -110,6 +111,7 @@
     cold_most: float = 0.0  # that may be spent in the turn; 0 once it is warm
     others: float = 0.0  # slots that other dispatchers fill, as far as that is told
     size: float = 1.0  # slots it has, by the list
+    number: int = 0  # in the order in which they were heard of
 
 
 @dataclass(slots=True, eq=False)
@@ -164,9 +166,16 @@
     def __init__(self, settings: api.Settings) -> None:
         self.settings = settings
         self.workers: dict[int, Worker] = {}
-        self.pools: dict[tuple[int, int], list[Worker]] = {}
+        self.heard_of = 0  # workers in all
+        self.left: dict[int, float] = {}  # those not up, and since when, the oldest first
+        self.up = 0
+        self.cold: dict[int, Worker] = {}  # those up that have started lately
         self.slice_bits = 0
-        self.orders: dict[tuple[int, int, int], list[Worker]] = {}
+        # by slice of the hashes: the workers up; these by kind; and rendezvous orders by key, kind and homes
+        self.slices: dict[int, dict[int, Worker]] = {}
+        self.pools: dict[int, dict[int, list[Worker]]] = {}
+        self.orders: dict[int, dict[tuple[int, int, int], list[Worker]]] = {}
+        self.orders_kept = 0
         self.salt, self.turn, self.ours = mix(settings.me + 1), -1, list[Worker]()  # the turn at cold workers
         self.stride = stride(settings.dispatchers)
         self.places: tuple[int, ...] = (settings.me,)  # whose turns are ours, but for the first part of each
@@ -184,8 +193,8 @@
         self.pace = 1.0  # send-to-outcome time over the hint, of late: machines that others use run slower
         self.trust_ms = TRUST_MS if settings.may_probe else TRUST_ANSWER_MS
 
-    def take_list(self, event: api.WorkerList) -> list[Worker]:
-        """Follow the list; returns the workers that are gone."""
+    def take_list(self, event: api.WorkerList, now: float) -> list[Worker]:
+        """Follow the list; returns the workers that are gone. Work grows with what has changed alone."""
         if event.form is api.ListForm.FAILED:
             return []
         gone: list[Worker] = []
@@ -193,10 +202,9 @@
             named = {e.worker for e in event.entries}
             gone = [w for w in self.workers.values() if w.up and w.id not in named]
             for worker in gone:
-                worker.up = False
+                self.set_up(worker, False, now)
         for e in event.entries:
-            if (w := self.workers.get(e.worker)) is None:
-                w = self.workers[e.worker] = Worker(e.worker, mix(e.worker))
+            w = self.workers.get(e.worker) or self.add(e.worker, now)
             up = e.state is api.WorkerState.UP
             if w.up and not up:
                 gone.append(w)
@@ -205,24 +213,85 @@
                 w.seen_at = w.full_until = NEVER
                 w.size = max(1.0, e.weight) if self.settings.nominal_weights else 1.0
                 w.limit = w.size if self.fleet else 1.0
-                w.unreached, w.suspended_until, w.unseen = 0, NEVER, 0.0
+                w.unreached, w.suspended_until, w.unseen, w.cold_most = 0, NEVER, 0.0, 0.0
                 w.strikes, w.failed_until = {}, {}
                 gone.append(w)
+            self.set_up(w, False, now)  # out of the indexes, with what it was before
             w.zone, w.cell, w.kind = e.zone, e.cell, e.kind
-            w.started_ms, w.since_ms, w.up = e.started_ms, e.since_ms, up
-        self.slice_bits = (sum(w.up for w in self.workers.values()) // (POOL_MOST + 1)).bit_length()
-        self.pools.clear()
-        self.orders.clear()
+            w.started_ms, w.since_ms = e.started_ms, e.since_ms
+            self.set_up(w, up, now)
+        self.slice_again()
+        self.forget_left(now)
         self.turn = -1
         return gone
 
+    def add(self, worker: int, now: float) -> Worker:
+        """A worker that is heard of for the first time; it is not up yet."""
+        w = self.workers[worker] = Worker(worker, mix(worker), number=self.heard_of)
+        self.heard_of += 1
+        self.left[worker] = now
+        return w
+
+    def set_up(self, w: Worker, up: bool, now: float) -> None:
+        """A worker is in service, or is not, by the list: it has its place in the indexes accordingly."""
+        if w.up is up:
+            return
+        w.up = up
+        self.up += 1 if up else -1
+        part = w.hash >> 64 - self.slice_bits
+        self.clear_slice(part)
+        if up:
+            self.left.pop(w.id, None)
+            self.slices.setdefault(part, {})[w.id] = w
+            if w.started_ms > 0:
+                self.cold[w.id] = w
+        else:
+            self.left[w.id] = now
+            del self.slices[part][w.id]
+            self.cold.pop(w.id, None)
+
+    def clear_slice(self, part: int) -> None:
+        """What was worked out from the workers of a slice holds no more."""
+        self.pools.pop(part, None)
+        self.orders_kept -= len(self.orders.pop(part, ()))
+
+    def slice_again(self) -> None:
+        """Divide the workers anew where their number has passed a power of two."""
+        bits = (self.up // (POOL_MOST + 1)).bit_length()
+        if bits == self.slice_bits:
+            return
+        self.slice_bits = bits
+        up = [w for part in self.slices.values() for w in part.values()]
+        self.slices.clear()
+        for w in up:
+            self.slices.setdefault(w.hash >> 64 - bits, {})[w.id] = w
+        self.clear_orders()
+
+    def clear_orders(self) -> None:
+        """Nothing that was worked out holds any more."""
+        self.pools.clear()
+        self.orders.clear()
+        self.orders_kept = 0
+
+    def forget_left(self, now: float) -> None:
+        """Guards memory: of a worker that left long ago, and for which nothing is out, nothing is kept."""
+        while self.left:
+            oldest, since = next(iter(self.left.items()))
+            if now - since <= FORGET_MS:
+                return
+            del self.left[oldest]
+            if self.workers[oldest].own:
+                self.left[oldest] = now
+            else:
+                del self.workers[oldest]
+
     def pool(self, kind: int, key_hash: int) -> list[Worker]:
         """Workers up that a class may use: of a large fleet, those that share the key's leading bits."""
-        shift = 64 - self.slice_bits
-        part = key_hash >> shift
-        if (found := self.pools.get((kind, part))) is None:
-            ready = [w for w in self.workers.values() if w.up and w.hash >> shift == part]
-            found = self.pools[kind, part] = [w for w in ready if kind in (-1, w.kind)]
+        part = key_hash >> 64 - self.slice_bits
+        pools = self.pools.setdefault(part, {})
+        if (found := pools.get(kind)) is None:
+            ready = self.slices.get(part, {}).values()
+            found = pools[kind] = [w for w in ready if kind in (-1, w.kind)]
         return found
 
     def order(self, job: Job, homes: int) -> list[Worker]:
@@ -230,17 +299,19 @@
 
         Each dispatcher has its own among the homes of a hot key, or all would run into the first at once.
         """
-        key = (job.hash, job.kind.kind, homes)
-        if (found := self.orders.get(key)) is None:
-            if len(self.orders) >= ORDERS_KEPT:
+        key, part = (job.hash, job.kind.kind, homes), job.hash >> 64 - self.slice_bits
+        if (found := self.orders.get(part, {}).get(key)) is None:
+            if self.orders_kept >= ORDERS_KEPT:
                 self.orders.clear()
+                self.orders_kept = 0
             walk = POOL_MOST if self.fleet else max(WALK, homes + WALK // 2)
             found = sorted(top(self.pool(job.kind.kind, job.hash), job.hash, walk), key=self.foreign)
             found[:homes] = top(found[:homes], job.hash ^ self.salt, homes)
             if self.fleet:
                 rest = top(found[homes + NEAR :], job.hash ^ self.salt, walk)
                 found[homes + NEAR :] = sorted(rest, key=self.foreign)
-            self.orders[key] = found
+            self.orders.setdefault(part, {})[key] = found
+            self.orders_kept += 1
         return found
 
     def foreign(self, w: Worker) -> bool:
@@ -307,7 +378,10 @@
         """Cold workers at which the turn is ours: no key's order leads there often enough while it is."""
         if (turn := int((now + self.ahead_ms) // self.settings.fall_ms)) != self.turn:
             self.turn = turn
-            self.ours = [w for w in self.workers.values() if w.up and 0 < self.cold_budget(w, now) < FOREVER]
+            for w in [w for w in self.cold.values() if now - w.since_ms >= self.settings.cold_ms]:
+                del self.cold[w.id]
+            ours = [w for w in self.cold.values() if self.cold_budget(w, now) > 0]
+            self.ours = sorted(ours, key=lambda w: w.number)
         return self.ours
 
     def count_sent(self, w: Worker, job: Job, now: float) -> None:
@@ -596,7 +670,7 @@
             self.watching = False
             wait = self.settings.must_ask_in_ms * ASK_AGAIN_SHARE
             self.watch_at = self.now + wait * self.random.uniform(0.5, 1)
-        for w in self.table.take_list(event):
+        for w in self.table.take_list(event, self.now):
             self.signatures.forget(w)
 
     def on_arrival(self, event: api.Arrival) -> None:
@@ -719,7 +793,7 @@
         """What others fill, and what of a cold worker's budget is spent."""
         if event.fleet and not self.table.fleet:
             self.table.fleet, self.table.parts = True, self.settings.parts
-            self.table.orders.clear()
+            self.table.clear_orders()
             for known in self.table.workers.values():
                 known.limit = max(known.limit, known.size)
         if event.places is not None:
--- a/spoolpier/handover.py
+++ b/spoolpier/handover.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from spoolpier import interface as api
-from spoolpier.brain import Attempt, Dispatcher, Job, Worker, mix
+from spoolpier.brain import Attempt, Dispatcher, Job, Worker
 
 FLEET = ("run_ms", "overhead", "pace")
 WORKER = ("limit", "strikes", "failed_until", "unreached", "suspended_until")
@@ -85,8 +85,8 @@
         w = table.workers.get(known["worker"])
         if w is None:
             # has left the list: what may have run there binds the job to its zone and cell all the same
-            w = Worker(known["worker"], mix(known["worker"]), known["zone"], known["cell"])
-            table.workers[w.id] = w
+            w = table.add(known["worker"], dispatcher.now)
+            w.zone, w.cell = known["zone"], known["cell"]
         a = Attempt(job, known["number"], w, known["sent_at"], known["open"], known["started"])
         a.heard_at = known["heard_at"]
         job.suspects.append(a)
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -117,7 +117,8 @@
         self.bytes = 0
         self.now = 1.8e12
         for fills in self.fills:
-            fills.know(workers)
+            for worker in workers:
+                fills.know(worker)
 
     def step(self, lose: float, change: bool) -> None:
         """A tenth of a second."""
@@ -128,7 +129,7 @@
                 slots = -self.truth[n][worker] if self.truth[n][worker] else 1.0
                 self.truth[n][worker] += slots
                 fills.filled(worker, slots)
-            while (data := fills.tell(self.now)) is not None:
+            while (data := fills.tell(self.now, self.now)) is not None:
                 self.bytes += len(data)
                 for to in range(len(self.fills)):
                     for _ in range(self.draw.choices((0, 1, 2), (lose, 1 - lose, lose / 2))[0]):
@@ -138,7 +139,7 @@
         self.under_way = [d for d in self.under_way if d[0] > self.now]
         for at, n, to, data in due:
             if n != to:
-                self.fills[to].take(n, data, at)
+                self.fills[to].take(n, data, at, at)
         for n, fills in enumerate(self.fills):
             self.seen[n].update(dict(fills.news(self.now)))
 
@@ -182,31 +183,60 @@
 
     def test_what_is_cut_late_overtaken_or_from_the_future_changes_nothing(self) -> None:
         ours, theirs = Fills(256, 2000.0, 5000.0), Fills(256, 2000.0, 5000.0)
-        ours.know(WORKERS)
+        ours.know(WORKERS[0])
         theirs.filled(WORKERS[0], 3.0)
-        old = theirs.tell(10_000.0)
+        old = theirs.tell(10_000.0, 10_000.0)
         theirs.filled(WORKERS[0], -3.0)
-        new = theirs.tell(10_500.0)
+        new = theirs.tell(10_500.0, 10_500.0)
         assert old is not None and new is not None
         for data in (b"", b"F", old[:-1], b"X" + old[1:]):
             with self.assertRaises(ValueError):
-                ours.take(1, data, 10_000.0)
-        ours.take(1, old, 16_000.0)  # six seconds on its way
-        ours.take(1, old, 4_000.0)  # a clock that is far ahead
-        ours.take(1, new, 10_500.0)
-        ours.take(1, old, 10_510.0)  # overtaken
+                ours.take(1, data, 10_000.0, 10_000.0)
+        ours.take(1, old, 16_000.0, 16_000.0)  # six seconds on its way
+        ours.take(1, old, 4_000.0, 4_000.0)  # a clock that is far ahead
+        ours.take(1, new, 10_500.0, 10_500.0)
+        ours.take(1, old, 10_510.0, 10_510.0)  # overtaken
         self.assertEqual(ours.news(10_600.0), [])
 
+    def test_a_step_of_the_wall_clock_silences_no_node(self) -> None:
+        for step in (-3_600_000.0, -5_000.0, -1_000.0, 1_000.0, 5_000.0, 3_600_000.0):
+            with self.subTest(step=step):
+                wall = 1.8e12
+                # one began before the step and one after it: their own clocks differ by it
+                ours, theirs = Fills(256, 2000.0, 5000.0), Fills(256, 2000.0, 5000.0)
+                ours.know(WORKERS[0])
+                theirs.filled(WORKERS[0], 1.0)
+                data = theirs.tell(0.0, wall)
+                assert data is not None
+                ours.take(1, data, 50.0, wall)
+                self.assertEqual(ours.news(60.0), [(WORKERS[0], 1.0)])
+                heard = []
+                for second in range(1, 7):  # a step back may hide a word for as long as one is believed
+                    at = 1000.0 * second
+                    theirs.filled(WORKERS[0], 1.0)
+                    data = theirs.tell(at, wall + step + at)
+                    assert data is not None
+                    ours.take(1, data, at + 10.0, wall + step + at + 10.0)
+                    heard += [slots for _, slots in ours.news(at + 20.0)]
+                self.assertEqual(heard[-1], 7.0)
+
+    def test_a_worker_that_has_left_is_not_kept(self) -> None:
+        fills = Fills(256, 2000.0, 5000.0)
+        for number in range(20_000):
+            fills.know(number)
+            fills.forget(number)
+        self.assertEqual(fills._workers, {})
+
     def test_a_datagram_is_bounded_and_what_does_not_fit_follows(self) -> None:
         fills, other = Fills(64, 2000.0, 5000.0), Fills(64, 2000.0, 5000.0)
         workers = [worker_number(f"w{i}") for i in range(70)]
-        other.know(workers)
         for worker in workers:
+            other.know(worker)
             fills.filled(worker, 40.0)  # more than an entry can say
         found: dict[int, float] = {}
-        while (data := fills.tell(1000.0)) is not None:
+        while (data := fills.tell(1000.0, 1000.0)) is not None:
             self.assertLessEqual(len(data), 64)
-            other.take(0, data, 1010.0)
+            other.take(0, data, 1010.0, 1010.0)
         found = dict(other.news(1020.0))
         self.assertEqual(len(found), 70)
         self.assertGreaterEqual(min(found.values()), 15.0)
@@ -315,7 +345,7 @@
         all_at = ("127.0.0.1", 999)
         limits = Limits(fills_gather_ms=0.0)
         config = Config("n7", known, limits, (), (), (), (), 1, peers=peers, peers_all=all_at)
-        neighbours = FleetNeighbours(config, Clock(), lambda: set(WORKERS), tuple)
+        neighbours = FleetNeighbours(config, Clock())
         told = Told(limits, peers)
         neighbours.meet(told)
         self.assertEqual(known.parts, 5)
@@ -334,14 +364,16 @@
         config = Config("n7", known, limits, (), (), (), (), 1, peers=peers)
         entries = tuple(api.WorkerEntry(worker=w, weight=5.0) for w in WORKERS[:30])
         clock = Clock()
-        neighbours = FleetNeighbours(config, clock, lambda: set(WORKERS), lambda: entries)
+        neighbours = FleetNeighbours(config, clock)
+        for entry in entries:
+            neighbours.listed(entry.worker, entry)
         told = OpenTold(limits, peers)
         began = clock.now_ms()
         neighbours.meet(told)
         neighbours.shares()
         others = Fills(limits.datagram_bytes, 100.0, 5000.0)
         others.filled(next(w for w in WORKERS[:30] if w % 5 == 2), 1.0)
-        data = others.tell(began)
+        data = others.tell(began, clock.common_ms())
         assert data is not None
         neighbours._received(data, peers[2])  # of one worker it has heard, of the others not yet
         async with asyncio.timeout(WAIT):
@@ -369,7 +401,10 @@
         self.all = [Parts(n, self.NODES, self.PARTS, 500.0, 5000.0, 4) for n in range(self.NODES)]
         self.places = [Place(worker, 5.0, True) for worker in range(100)]
         for node in self.all:  # nothing is heard yet: a single job of each node's own, and no more
-            self.assertEqual(set(node.news(0.0, self.places, lambda w: 0.0).values()), {4.0})
+            self.assertEqual(set(node.news(0.0, self.places_of, lambda w: 0.0).values()), {4.0})
+
+    def places_of(self, part: int) -> list[Place]:
+        return [place for place in self.places if place.worker % self.PARTS == part]
 
     def told(self, now: float, free: dict[int, float], mine: dict[int, float]) -> list[Mapping[int, float]]:
         """What each node makes of a word of part 0, to which the workers 0, 5, 10 ... belong."""
@@ -377,7 +412,7 @@
         self.assertLessEqual(len(data), 2 + 2 * 16)
         for node in self.all[1:]:
             node.take(0, data, now + 20.0)
-        return [node.news(now + 20.0, self.places, lambda w: mine.get(w, 0.0)) for node in self.all]
+        return [node.news(now + 20.0, self.places_of, lambda w: mine.get(w, 0.0)) for node in self.all]
 
     def test_a_free_slot_is_offered_to_a_few_nodes_and_a_full_worker_to_none(self) -> None:
         found = self.told(10_000.0, {0: 2.0, 5: 0.4, 10: 1.0}, {})
@@ -405,12 +440,18 @@
         self.assertEqual((found[7][5], found[7][0]), (0.0, NONE))
         late = self.all[0].tell(9000.0, [(0, 5.0)])
         self.all[7].take(0, late, 10_050.0)  # overtaken
-        self.assertEqual(self.all[7].news(10_050.0, self.places, lambda w: 0.0), {})
-        self.assertEqual(self.all[7].news(15_200.0, self.places, lambda w: 0.0)[0], 4.0)
+        self.assertEqual(self.all[7].news(10_050.0, self.places_of, lambda w: 0.0), {})
+        self.assertEqual(self.all[7].news(15_200.0, self.places_of, lambda w: 0.0)[0], 4.0)
         for junk in (b"", b"R", late[:3], b"F" + late[1:]):
             with self.assertRaises(ValueError):
                 self.all[7].take(0, junk, 15_200.0)
 
+    def test_a_step_back_of_the_wall_clock_leaves_no_word_standing_and_hides_none(self) -> None:
+        self.told(3_610_000.0, {0: 2.0}, {})
+        stepped = 10_000.0  # an hour back
+        found = self.told(stepped, {0: 1.0}, {})
+        self.assertEqual({news[0] for n, news in enumerate(found) if n % self.PARTS} - {NONE}, {4.0})
+
     def test_the_nodes_of_a_part_take_turns(self) -> None:
         for part in range(self.PARTS):
             at = sorted(self.all[n].wait_ms(777_000.0) for n in range(part, self.NODES, self.PARTS))
