Many nodes that cannot tell each other what they fill no longer flood a hot key's first workers

Ruled out: connects and discovery (no break, list current throughout), probes (not used where starts are told). Change: where starts are told and messages are not allowed, from eight nodes on: no jobs counted beyond those seen, a worker is left alone for as long as a job waited there (5 s at most), and who is left alone takes no place in a key's order. Other deployments here are not concerned. Tests: UnheardTest, two, red on the text before.

--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -62,6 +62,7 @@
 POOL_MOST = 128  # workers scored for a key; of a larger fleet a key sees its slice, or scoring costs too much
 ORDERS_KEPT = 2048  # rendezvous orders remembered; beyond it all are worked out afresh
 REPEAT_MARGIN_MS = 220.0  # before a repeat window's end: 150 ms that a process may be held, and the way there
+CROWD = 8  # so many dispatchers that hear nothing of each other fill a worker between two sends of one
 FORGET_MS = 60_000.0  # a worker that has left is remembered for so long: it may come back within a turn
 ASK_AGAIN_SHARE = 0.2  # share of must_ask_in_ms after which a failed subscription is asked for again
 FOREVER, NEVER = 1e18, -1e18
@@ -183,6 +184,9 @@
         self.ahead_ms = 0.0  # the clock that all dispatchers read, before ours: turns are counted by it
         self.no_turn_before = NEVER  # that clock was stepped just now
         self.fleet = False  # what all dispatchers fill is told: a limit is of all together
+        # many that cannot tell what they fill: a late start is all that shows a worker's backlog
+        crowd = settings.dispatchers >= CROWD
+        self.unheard = crowd and settings.tells_start and not settings.may_tell
         self.parts = 1  # of the fleet: what is filled at a worker is told to the dispatchers of its part
         self.slots_of_kind: dict[int, float] = {}
         # by verdict, of worker and class: left alone; looked at before others (-1) or behind them (1)
@@ -304,10 +308,11 @@
             if self.orders_kept >= ORDERS_KEPT:
                 self.orders.clear()
                 self.orders_kept = 0
-            walk = POOL_MOST if self.fleet else max(WALK, homes + WALK // 2)
+            wide = self.fleet or self.unheard
+            walk = POOL_MOST if wide else max(WALK, homes + WALK // 2)
             found = sorted(top(self.pool(job.kind.kind, job.hash), job.hash, walk), key=self.foreign)
             found[:homes] = top(found[:homes], job.hash ^ self.salt, homes)
-            if self.fleet:
+            if wide:
                 rest = top(found[homes + NEAR :], job.hash ^ self.salt, walk)
                 found[homes + NEAR :] = sorted(rest, key=self.foreign)
             self.orders.setdefault(part, {})[key] = found
@@ -423,6 +428,12 @@
         elif kind not in (api.OutcomeKind.CANCELLED, api.OutcomeKind.NOT_SENT):
             self.blame(a, now)
 
+    def note_backlog(self, a: Attempt, now: float) -> None:
+        """A job began late: others wait there too, sent by dispatchers that are not heard."""
+        late = now - a.sent_at
+        if self.unheard and late > START_LATE_MS:
+            a.worker.full_until = max(a.worker.full_until, now + min(late, BACKLOG_MOST_MS))
+
     def suspend(self, w: Worker, now: float) -> None:
         """Leave a worker alone that cannot be reached."""
         if now >= w.suspended_until:
@@ -504,11 +515,11 @@
             self.total /= 2
             self.counts = {k: c / 2 for k, c in self.counts.items() if c >= 0.5}
 
-    def share(self, key: int | None) -> float:
+    def share(self, key: int | None, prior: float) -> float:
         """The key's share of our recent jobs."""
         count = self.counts.get(key, 0.0)
         # at the low end of what chance allows: a key seen twice is not hot, and each home has to fetch it
-        return max(0.0, count - math.sqrt(count)) / (self.total + SHARE_PRIOR)
+        return max(0.0, count - math.sqrt(count)) / max(1.0, self.total + prior)
 
     def remember(self, w: Worker, key: int | None) -> None:
         """The worker's signature is now this key."""
@@ -733,6 +744,7 @@
             self.table.set_quiet(a, False)
         if a is not None and not a.started:
             a.started, a.began_at = True, self.now
+            self.table.note_backlog(a, self.now)
             tried = a.worker.filled + a.worker.others > a.worker.limit - 1  # only then is anything learned
             if tried and self.now - a.sent_at <= START_LATE_MS:
                 a.worker.limit += 1 / a.worker.limit
@@ -874,7 +886,9 @@
     def choose(self, job: Job) -> Worker | None:
         """The free worker with the best benefit, ties in rendezvous order; probes where news is old."""
         table, now, may_probe = self.table, self.now, self.settings.may_probe
-        homes = table.homes(self.signatures.share(job.key), job)
+        # one of many sees few jobs, and what is hot for all floods its homes before it has seen them
+        prior = 0.0 if table.unheard else SHARE_PRIOR
+        homes = table.homes(self.signatures.share(job.key, prior), job)
         matches = list(self.signatures.workers.get(job.key, {}).values())
         if len(matches) > 1:
             matches = top(matches, job.hash if homes == 1 else job.hash ^ table.salt, len(matches))
@@ -886,6 +900,8 @@
         # a worker off the key's homes has to fetch its data: a job goes further only as its slack runs down
         wide = table.most_fail(job, now)
         spilt = int((now - job.arrived) / (SPILL_SHARE * job.slack))
+        if table.unheard:
+            order = [w for w in order if now >= w.full_until]
         order = order[: homes + NEAR << 2 * min(spilt, 3) if table.fleet else homes + NEAR + spilt]
         if table.fleet and not job.suspects:
             order = order + table.cold_ones(now)
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -392,6 +392,44 @@
             self.assertEqual(sent.worker % 5, 2)
 
 
+class UnheardTest(unittest.TestCase):
+    """Many nodes that may not tell each other anything: each sees few jobs, and nothing of the others'."""
+
+    def alone(self, me: int) -> Dispatcher:
+        known = settings(me=me, dispatchers=200, tells_start=True, nominal_weights=True)
+        d = Dispatcher(known, seed=1)
+        names = [worker_number(f"s-{i:08x}") for i in range(120)]
+        entries = tuple(api.WorkerEntry(worker=w, weight=8.0) for w in names)
+        d.step(0, [api.WorkerList(api.ListForm.CACHED, entries)])
+        return d
+
+    def test_a_worker_at_which_a_job_began_late_is_left_alone_for_as_long(self) -> None:
+        for late, elsewhere in ((20.0, False), (3000.0, True)):
+            d = self.alone(7)
+            [first] = sends(d.step(10.0, [job("a")]))
+            d.step(10.0 + late, [api.Note("a", 0, first.worker, api.Progress.STARTED, 0.0)])
+            at = 50.0 + late
+            d.step(at, [api.Outcome("a", 0, first.worker, api.OutcomeKind.SERVED, at, True)])
+            [second] = sends(d.step(at + 10.0, [job("b")]))
+            self.assertEqual(second.worker != first.worker, elsewhere)
+
+    def test_a_key_that_is_hot_for_all_is_spread_before_each_has_seen_much_of_it(self) -> None:
+        # three of ten jobs of each node had one key, and 200 nodes had four homes for it
+        first = set()
+        for me in range(60):
+            d = self.alone(me)
+            for i in range(10):
+                key = 1 if i in (2, 5, 8) else 100 + i
+                [sent] = sends(d.step(10.0 + 200.0 * i, [job(f"j{i}", key=key)]))
+                done = api.Outcome(sent.job, 0, sent.worker, api.OutcomeKind.SERVED, 100.0, True)
+                d.step(100.0 + 200.0 * i, [done])
+            for worker in d.table.workers.values():
+                d.signatures.forget(worker)
+            [sent] = sends(d.step(5000.0, [job("last", key=1)]))
+            first.add(sent.worker)
+        self.assertGreater(len(first), 10)
+
+
 class RoomTest(unittest.TestCase):
     """Two hundred nodes in five parts; what one part says it has free is heard by all nodes at once."""
 
