A setting at fault is named as whoever wrote it calls it

Seen: a period of 0 ended the start with `tick_ms: must be above 0`, a name that stands in no settings; `rules.must_ask_in_ms: often` with `could not convert string to float`, without a name. At fault: spoolpier/settings.py, float() on what may be anything; spoolpier/interface.py judges by the module's names.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -108,7 +108,7 @@
     ("change", "name"),
     [
         ({"balancers": "many"}, "balancers"),
-        ({"balancers": 0}, "dispatchers"),
+        ({"balancers": 0}, "balancers"),
         ({"classes": []}, "classes"),
         ({"classes": [{"target_ms": 1.0, "deadline_ms": 5.0, "idempotency": "often"}]}, "idempotency"),
         ({"classes": [{"target_ms": 1.0, "idempotency": "once"}]}, "deadline_ms"),
