A list of thousands of workers is taken in, and one that is indented over lines

Seen: a node before a list of 3,400 workers (0.5 MB) is never ready: a watch's line, and a call's body, could have 256 KB, some 1,700 workers; 3,200 are allowed for. An object of a watch that is indented over several lines was malformed for good. Checked: both over real connections on the text before (the condition never held; malformed line from discovery). At fault: config.Limits.line_bytes; follower.Watch._line, which took each line for an object. Change: 4 MB; discovery/lines.py puts the lines of an indented object together, and the list counts as heard at its end. Tests: FormsTest, two, red on the text before.

--- a/pebbledrift/config.py
+++ b/pebbledrift/config.py
@@ -44,7 +44,8 @@
     # sizes
     head_bytes: int = 16 * 1024
     body_bytes: int = 64 * 1024
-    line_bytes: int = 256 * 1024  # one line of discovery's watch
+    # one object of discovery's: 3,400 workers are 0.5 MB, and indented three times as much
+    line_bytes: int = 4 * 1024 * 1024
     datagram_bytes: int = 256
     admin_line_bytes: int = 256  # one call of an operator
     write_buffer_bytes: int = 96 * 1024  # unread answers on one connection; more closes it
--- a/pebbledrift/discovery/follower.py
+++ b/pebbledrift/discovery/follower.py
@@ -13,6 +13,7 @@
 from pebbledrift import logs
 from pebbledrift.config import Address, Config, Limits
 from pebbledrift.core.clock import Clock
+from pebbledrift.discovery.lines import BadObject, ObjectLines
 from pebbledrift.discovery.reliance import PushedReliance, Reliance
 from pebbledrift.discovery.turns import AtOnce, Turns
 from pebbledrift.net.http import HttpProtocol, Message, request
@@ -289,6 +290,7 @@
         self.discovery = discovery
         self.begun = self.heard = self.silent = False
         self.head: Message | None = None
+        self.objects = ObjectLines(follower.limits.line_bytes)
         self.loop = asyncio.get_running_loop()
         self.ended: asyncio.Future[None] = self.loop.create_future()
         self.timer: asyncio.TimerHandle | None = None
@@ -314,30 +316,29 @@
         self._alive()
         lines = 0
         while (end := head.body.find(b"\n")) >= 0:
-            line = bytes(head.body[:end]).strip()
+            line = bytes(head.body[:end])
             del head.body[: end + 1]
             lines += 1
-            if line:
-                self._line(line)
-        if lines and self.heard:
+            self._line(line)
+        # in the middle of an object not all that was to be told has been taken in
+        if lines and self.heard and not self.objects.inside:
             self.follower.alive(self.discovery)
         if self.parser.ended:
             self.abort()
 
     def _line(self, line: bytes) -> None:
         try:
-            news = json.loads(line)
-            if not isinstance(news, dict):
-                raise ValueError("not an object")
-        except (ValueError, RecursionError) as error:
+            news = self.objects.take(line)
+        except BadObject as error:
             # a gap in the changes could hide a drain: the whole list is asked for again
             log.warning("malformed line from discovery", extra={"error": str(error)})
             if self.discovery == self.follower.discovery:
                 self.follower.rev = None
             self.abort()
             return
-        self.heard = True
-        self.follower.told(news, self.discovery)
+        if news is not None:
+            self.heard = True
+            self.follower.told(news, self.discovery)
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self.timer is not None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import itertools
+import json
 import math
+import queue
 import socket
 import threading
+import time
 import unittest
 from typing import Any, ClassVar
 
 from pebbledrift.discovery.reliance import PushedReliance, Reliance
-from tests.node import SETTINGS, WAIT, Discovery, NodeTest, Server, Worker, ask, eventually
+from tests.node import SETTINGS, WAIT, Discovery, Node, NodeTest, Server, Worker, ask, eventually
 
 
 def serve(worker: Worker, request: Server, job: str) -> None:
@@ -151,6 +154,93 @@
         self.assertNotIn("b", worker.taken)
 
 
+class Formed(Discovery):
+    """Writes its lists in a form of its own, and counts whole lists asked for."""
+
+    def __init__(
+        self, targets: list[dict[str, Any]], indent: int | None = None, piece: int = 1 << 30
+    ) -> None:
+        super().__init__(targets)
+        self.indent, self.piece = indent, piece
+
+    def handle(self, request: Server, body: bytes) -> None:
+        if "follow" not in request.path:
+            self.asked.put(request.path)
+            whole = {"rev": self.rev, "all": True, "targets": self.targets}
+            request.reply(200, body=json.dumps(whole, indent=self.indent).encode())
+            return
+        news: queue.Queue[bytes | None] = queue.Queue()
+        self.watches.append(news)
+        self.asked.put(request.path)
+        request.send_response(200)
+        request.send_header("Transfer-Encoding", "chunked")
+        request.end_headers()
+        self.write(request, {"rev": self.rev, "all": True, "targets": self.targets})
+        while (line := self._next(news)) is not None:
+            if line == b"\n":
+                request.wfile.write(b"1\r\n\n\r\n")
+            else:
+                self.write(request, json.loads(line))
+        request.drop()
+
+    def write(self, request: Server, news: dict[str, Any]) -> None:
+        data = json.dumps(news, indent=self.indent).encode() + b"\n"
+        for at in range(0, len(data), self.piece):
+            piece = data[at : at + self.piece]
+            request.wfile.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+            request.wfile.flush()
+
+
+class FormsTest(NodeTest):
+    """Lists in the forms in which they may come, and of any length that a fleet may have."""
+
+    LONG = 3400
+
+    def followed(self, discovery: Discovery, worker: Worker) -> Node:
+        self.addCleanup(discovery.close)
+        self.addCleanup(worker.close)
+        node = self.start(listen="127.0.0.1:0", discovery=discovery.address, settings=SETTINGS)
+        worker.node = node.address
+        eventually(lambda: ask(node.address, "GET", "/-/ready")[0] == 200)
+        return node
+
+    def drained(self, node: Node, discovery: Discovery, worker: Worker) -> None:
+        self.assertEqual(node.job("a")[0], 200)
+        discovery.change(worker.target("terminating"))
+        eventually(lambda: node.job(f"b{time.monotonic()}", budget=0.3)[0] == 503)
+        self.assertFalse([line for line in node.log if "malformed" in line or "current=False" in line])
+
+    def test_lists_that_are_indented_or_come_in_pieces_are_followed(self) -> None:
+        for indent, piece in ((None, 7), (1, 1 << 30), (2, 5), (4, 64)):
+            with self.subTest(indent=indent, piece=piece):
+                worker = Worker("s-1", serve)
+                discovery = Formed([worker.target()], indent, piece)
+                self.drained(self.followed(discovery, worker), discovery, worker)
+
+    def test_a_list_of_thousands_of_workers_is_taken_in_by_watch_and_by_call(self) -> None:
+        # from about 1,700 workers on the whole list was over a line's bound, and no node was ever ready
+        worker = Worker("s-1", serve)
+        gone = {
+            "az": "caxias",
+            "model": "serie-a",
+            "state": "terminating",
+            "capacity_hint": 4.0,
+            "boot_ms": 0,
+        }
+        more = [
+            {"uid": f"s-{i:08x}", "endpoint": f"127.1.{i >> 8}.{i & 255}:8081", "pod_group": i % 40, **gone}
+            for i in range(self.LONG)
+        ]
+        discovery = Formed([worker.target(), *more], piece=50_000)
+        node = self.followed(discovery, worker)
+        self.assertEqual(node.job("first")[0], 200)
+        other = Formed([worker.target(), *more], indent=2)
+        self.addCleanup(other.close)
+        node.reload(discovery=other.address)
+        eventually(lambda: bool(other.watches))
+        self.drained(node, other, worker)
+
+
 class Slow(Discovery):
     """Says nothing on a call until it may."""
 
