--- a/tests/test_write_checks.py
+++ b/tests/test_write_checks.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import socket
+import struct
 import threading
 import time
 from typing import Any
 
 from tests.late_worker import LateWorker, connecting, read_answers
-from tests.node import SETTINGS, Discovery, Node, NodeTest, Server, Worker, ask, eventually
+from tests.node import SETTINGS, WAIT, Discovery, Node, NodeTest, Server, Worker, ask, eventually
 
 LATE = {"connect_ms": 10_000, "accept_ms": 10_000, "accept_again_ms": 10_000}  # what further SYNs take
 
@@ -129,6 +130,36 @@
         self.assertLessEqual(held.taken, {"a", "c"})
 
 
+class QueuedTest(NodeTest):
+    """Clients that leave while their requests wait for a worker."""
+
+    def test_what_waits_for_a_worker_is_not_sent_once_its_client_has_left(self) -> None:
+        for how in ("end of stream", "reset"):
+            with self.subTest(how=how):
+                worker = Worker("s-1", keep)
+                node, _ = self.platform(worker)
+                running = node.later("a", budget=8.0)
+                self.assertEqual(worker.jobs.get(timeout=WAIT), "a")
+                host, _, port = node.address.partition(":")
+                clients = [socket.create_connection((host, int(port))) for _ in range(4)]
+                for number, client in enumerate(clients):
+                    client.sendall(post(f"q{number}", budget=8.0))
+                threading.Event().wait(0.1)  # for them to be read and to wait: the worker runs one at a time
+                self.assertEqual(worker.taken, {"a"})
+                for client in clients:
+                    if how == "reset":
+                        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    client.close()
+                threading.Event().wait(0.15)  # 0.1 s after a close nothing may begin
+                worker.call("a", "done", result="yes")
+                self.assertEqual(running.get(timeout=WAIT)[0], 200)
+                last = node.later("z", budget=8.0)
+                self.assertEqual(worker.jobs.get(timeout=WAIT), "z")  # who came after them has the worker
+                worker.call("z", "done", result="yes")
+                self.assertEqual(last.get(timeout=WAIT)[0], 200)
+                self.assertEqual(worker.taken, {"a", "z"})
+
+
 class PipelineTest(NodeTest):
     def test_the_time_of_a_request_runs_while_it_waits_behind_another_one(self) -> None:
         held = Worker("s-1", keep)
