A long list goes over in an upgrade: the link sends long messages in several datagrams

Seen by reading the change on long lists again: an upgrade hands the list over in one message of at most 192 KB, some 1,200 workers; a longer one was logged and dropped, and the newer process began without a list. And since node.line_bytes grew to 4 MB, the bound on what a connection may take with it (half of it) no longer lay under the link's. Checked: over a real link on the text before the message never comes (TimeoutError); two processes with 3,400 workers and discovery down: the newer one was not ready within 60 s. At fault: net/link.py, Link.send; client_connection.py, give() borrowed a bound that is another's. Change: the link divides and joins long messages itself, as the supervisor of several cores did for its own, which is gone there; it refuses a descriptor whose message would arrive cut short. Tests: LinkTest, UpgradeTest, one each.

--- a/pebbledrift/cores/core.py
+++ b/pebbledrift/cores/core.py
@@ -114,7 +114,6 @@
         self.link = Link(socket.socket(fileno=start.link), self._told, self._orphaned)
         self.ending = asyncio.Event()
         self._taken = 0  # number of the last connection that was taken
-        self._parts = b""  # of news that come in several messages
         self._shown = 0
 
     async def run(self) -> None:
@@ -163,12 +162,9 @@
                 number = int(fields["n"])
                 self.fronts.take(descriptor, lambda: self._take(number))
             case "news":
-                self._parts += body
-                if not fields["more"]:
-                    news, self._parts = json.loads(self._parts), b""
-                    self.pool.follower.heard |= not fields["cached"]
-                    self.pool.take(news, cached=bool(fields["cached"]))
-                    self._publish()  # STATUS must not say no once /-/ready says yes
+                self.pool.follower.heard |= not fields["cached"]
+                self.pool.take(json.loads(body), cached=bool(fields["cached"]))
+                self._publish()  # STATUS must not say no once /-/ready says yes
             case "rely":
                 self.pool.rely(bool(fields["current"]))
                 self._publish()
--- a/pebbledrift/cores/supervisor.py
+++ b/pebbledrift/cores/supervisor.py
@@ -50,7 +50,6 @@
 OBEY_S = 0.8  # until an operator's call has to be obeyed by all
 LOOK_S = 0.05
 END_S = 3.0  # beyond the longest deadline, until a core that does not end is killed
-PART = 96 * 1024  # bytes of news in one message
 
 
 class Core:
@@ -400,10 +399,7 @@
 
     def _send_news(self, core: Core, news: Mapping[str, Any], cached: bool) -> None:
         assert core.link is not None
-        text = json.dumps(news).encode()
-        for at in range(0, len(text), PART):
-            more = at + PART < len(text)
-            core.link.send({"kind": "news", "cached": cached, "more": more}, text[at : at + PART])
+        core.link.send({"kind": "news", "cached": cached}, json.dumps(news).encode())
 
     def _apply(self, new: Config, hosts: list[Host]) -> None:
         self.follower.move(new.discovery)
--- a/pebbledrift/net/client_connection.py
+++ b/pebbledrift/net/client_connection.py
@@ -269,7 +269,7 @@
         transport, heir = self.transport, self.server.heir
         if heir is None or transport is None or transport.is_closing() or self.last:
             return False
-        if self.parser.halfway or not self.flushed or len(data) > self.limits.line_bytes // 2:
+        if self.parser.halfway or not self.flushed:
             return False
         if not heir(fields, transport.get_extra_info("socket").fileno(), data):
             return False
--- a/pebbledrift/net/link.py
+++ b/pebbledrift/net/link.py
@@ -1,4 +1,8 @@
-"""The link between two processes of one node: whole messages, each with at most one descriptor."""
+"""The link between two processes of one node: whole messages, each with at most one descriptor.
+
+A message whose body is too long for one datagram, such as the list of a large fleet, goes in several, each
+but the last marked `more`; the other side gets it whole.
+"""
 
 from __future__ import annotations
 
@@ -17,7 +21,9 @@
 
 log = logging.getLogger(__name__)
 
-MOST = 192 * 1024  # bytes of a message: a request with its head and body, or a thousand ids
+MOST = 192 * 1024  # bytes of a datagram: a request with its head and body, or a thousand ids
+PART = 96 * 1024  # bytes of a longer body in each datagram
+LONG_MOST = 16 * 1024 * 1024  # bytes of a message
 QUEUE = 2000  # messages that wait for the other side to read
 
 Fields = dict[str, Any]
@@ -33,6 +39,7 @@
         self.lost = lost
         self.queue: deque[bytes] = deque()
         self.closed = False
+        self._parts = bytearray()  # of a long message that has begun to come
         self._loop = asyncio.get_running_loop()
         end.setblocking(False)
         self._loop.add_reader(end, self._read)
@@ -41,11 +48,11 @@
         """Send a message, now or once the other side has read what is before it."""
         if self.closed:
             return
-        data = json.dumps(fields).encode() + b"\n" + body
-        if len(data) > MOST:
-            log.error("message too long", extra={"kind": str(fields.get("kind"))})  # guards the link itself
+        try:
+            self.queue.extend(_datagrams(fields, body))
+        except ValueError as error:
+            log.error(str(error), extra={"kind": str(fields.get("kind"))})  # guards the link itself
             return
-        self.queue.append(data)
         if len(self.queue) > QUEUE:
             log.error("the other process does not read")  # guards memory
             self._broken()
@@ -56,7 +63,9 @@
         """Send a message with a descriptor at once; False if that cannot be done now: nothing was sent."""
         if self.closed or self.queue:
             return False
-        data = json.dumps(fields).encode() + b"\n" + body
+        data = _datagram(fields, body)
+        if len(data) > MOST:
+            return False  # it would arrive cut short
         try:
             return socket.send_fds(self.socket, [data], [descriptor]) == len(data)
         except OSError as error:
@@ -111,8 +120,15 @@
         try:
             if flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC):
                 raise ValueError("cut short")  # too long, or no descriptor was free here
-            self.received(json.loads(head), body, descriptor)
+            fields = json.loads(head)
+            self._parts += body
+            if len(self._parts) > LONG_MOST:
+                raise ValueError("too long")
+            if not fields.pop("more", False):
+                body, self._parts = bytes(self._parts), bytearray()
+                self.received(fields, body, descriptor)
         except Exception:
+            self._parts = bytearray()
             # guards a node that serves against a message of a version that it does not know
             log.exception("message passed over")
             if descriptor is not None:
@@ -120,6 +136,21 @@
                     os.close(descriptor)
 
 
+def _datagram(fields: Fields, body: bytes) -> bytes:
+    return json.dumps(fields).encode() + b"\n" + body
+
+
+def _datagrams(fields: Fields, body: bytes) -> list[bytes]:
+    """A message in as many datagrams as it takes; ValueError for one that is too long."""
+    whole = _datagram(fields, body)
+    if len(whole) <= MOST:
+        return [whole]
+    if len(body) > LONG_MOST or len(whole) - len(body) > MOST - PART:
+        raise ValueError("message too long")
+    parts = [body[at : at + PART] for at in range(0, len(body), PART)]
+    return [*(_datagram({**fields, "more": True}, part) for part in parts[:-1]), _datagram(fields, parts[-1])]
+
+
 class MeetingPlace:
     """A Unix socket in a folder, by which the next process finds this one."""
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -307,6 +307,22 @@
         self.assertEqual([new.job(f"n{i}")[0] for i in range(4)], [200] * 4)
         self.assertEqual(self.worker.taken, taken)  # the drain has gone over with the list
 
+    def test_a_list_of_thousands_of_workers_goes_over_too(self) -> None:
+        more = {"az": "caxias", "model": "serie-a", "state": "terminating"}
+        for i in range(3400):
+            where = f"127.1.{i >> 8}.{i & 255}:8081"
+            self.discovery.targets.append(
+                {"uid": f"s-{i:08x}", "endpoint": where, "pod_group": i % 40, **more}
+            )
+        old = self.process()
+        self.assertEqual(old.job("a")[0], 200)
+        gone = Discovery([])
+        gone.close()
+        new = self.process(discovery=gone.address, node={"ready_above_elder_ms": 60_000})
+        eventually(lambda: old.call("STATUS") == "FAILURE succeeded\n")
+        self.assertEqual([new.job(f"n{i}")[0] for i in range(4)], [200] * 4)
+        self.assertFalse([line for line in (*old.log, *new.log) if "level=error" in line])
+
     def test_tubes_are_served_by_one_process_at_a_time(self) -> None:
         old = self.process(beanstalk={"listen": "127.0.0.1:0"})
         tubes = old.addresses[0]
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -9,6 +9,7 @@
 import socket
 import unittest
 from dataclasses import replace
+from typing import Any
 from unittest import mock
 
 from hypothesis import given, settings
@@ -69,6 +70,28 @@
 
 
 class LinkTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_long_message_comes_whole_and_in_its_turn(self) -> None:
+        # the list of some 1,200 workers was told to nobody, and an upgrade of such a node began without one
+        ends = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        got: list[tuple[object, bytes]] = []
+        one = Link(ends[0], lambda fields, body, descriptor: None, lambda: None)
+        other = Link(ends[1], lambda fields, body, descriptor: got.append((fields, body)), lambda: None)
+        sent: list[tuple[dict[str, Any], bytes]] = [
+            ({"kind": "first"}, b"a"),
+            ({"kind": "list", "left_ms": 5.0}, bytes(range(256)) * 8000),
+            ({"kind": "last"}, b""),
+        ]
+        for fields, body in sent:
+            one.send(fields, body)
+        one.send({"kind": "too long"}, bytes(17 << 20))
+        self.assertFalse(one.send_descriptor({"kind": "socket"}, ends[0].fileno(), bytes(1 << 18)))
+        async with asyncio.timeout(WAIT):
+            while len(got) < 3:
+                await asyncio.sleep(0.001)
+        one.close()
+        other.close()
+        self.assertEqual(got, sent)
+
     async def test_what_was_sent_before_an_end_is_read_though_the_other_side_had_not_read_all(self) -> None:
         # the reset that tells of the unread message came first, and clients' connections went with the rest
         ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
