Review of the change on long lists: less state, one reader of objects, one clock

Cold workers at which the turn is ours are looked at in the order in which they became cold, and not in that in which they were first heard of. Left as they are: interface.Settings judges again what the reader has judged (it serves callers that have no reader); two kinds of listeners on the list (one is told of entries, the other that there are any).

--- a/pebbledrift/core/clock.py
+++ b/pebbledrift/core/clock.py
@@ -21,7 +21,7 @@
 
     def ahead_ms(self) -> float:
         """How far the wall clock, which all machines read alike, is ahead of this one: it may be stepped."""
-        return time.time() * 1000.0 - self.now_ms()
+        return self.common_ms() - self.now_ms()
 
     def common_ms(self) -> float:
         """The wall clock, which all machines read alike. It may be stepped: no span is measured by it."""
--- a/pebbledrift/core/engine.py
+++ b/pebbledrift/core/engine.py
@@ -333,7 +333,7 @@
         self._event(api.Shares((), places=()))
         if count:
             turn = self.settings.fall_ms
-            wait = count * turn - (self.clock.now_ms() + self.clock.ahead_ms()) % turn
+            wait = count * turn - self.clock.common_ms() % turn
             self._turns_back = self._loop.call_later(wait / 1000, self._use_turns)
 
     def _use_turns(self) -> None:
--- a/pebbledrift/cores/core.py
+++ b/pebbledrift/cores/core.py
@@ -75,7 +75,7 @@
 
     def turn(self) -> int:
         """The turn at cold workers, as the decision module counts it."""
-        return int((self.clock.now_ms() + self.clock.ahead_ms()) // self.fall_ms)
+        return int(self.clock.common_ms() // self.fall_ms)
 
     def take_cold(self, worker: int, turn: int, work: float, most: float) -> bool:
         """Spend from a cold worker's budget."""
@@ -84,7 +84,7 @@
 
     def turn_over(self, turn: int) -> bool:
         """Whether a turn has passed, but for the time that a send takes to begin."""
-        return self.clock.now_ms() + self.clock.ahead_ms() > (turn + 1) * self.fall_ms + TURN_LATE_MS
+        return self.clock.common_ms() > (turn + 1) * self.fall_ms + TURN_LATE_MS
 
     def places(self) -> None:
         """Cores of one node have its turns together."""
--- a/pebbledrift/cores/supervisor.py
+++ b/pebbledrift/cores/supervisor.py
@@ -387,7 +387,7 @@
 
     def _turn(self) -> int:
         """The slow-start turn, as the decision module of each core counts it."""
-        return int((self.clock.now_ms() + self.clock.ahead_ms()) // self.config.settings.fall_ms)
+        return int(self.clock.common_ms() // self.config.settings.fall_ms)
 
     def _set_gates(self) -> None:
         open_ = {worker_number(uid) for uid in self.roster.in_service() - self.bans}
--- a/pebbledrift/discovery/follower.py
+++ b/pebbledrift/discovery/follower.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import math
 from collections.abc import Callable, Mapping
@@ -13,7 +12,7 @@
 from pebbledrift import logs
 from pebbledrift.config import Address, Config, Limits
 from pebbledrift.core.clock import Clock
-from pebbledrift.discovery.lines import BadObject, ObjectLines
+from pebbledrift.discovery.lines import BadObject, ObjectLines, parse_object
 from pebbledrift.discovery.reliance import PushedReliance, Reliance
 from pebbledrift.discovery.turns import AtOnce, Turns
 from pebbledrift.net.http import HttpProtocol, Message, request
@@ -259,14 +258,14 @@
         news = None
         if message.status == 200:
             try:
-                news = json.loads(bytes(message.body))
-            except (ValueError, RecursionError) as error:
+                news = parse_object(bytes(message.body))
+            except BadObject as error:
                 log.warning("malformed list from discovery", extra={"error": str(error)})
         else:
             self.turned_away = True
         if not self.ended.done():
             # a list without its targets would count as a fleet that has left
-            whole = isinstance(news, dict) and isinstance(news.get("targets"), list)
+            whole = news is not None and isinstance(news.get("targets"), list)
             self.ended.set_result(news if whole else None)
 
     def eof_received(self) -> bool:
--- a/pebbledrift/discovery/lines.py
+++ b/pebbledrift/discovery/lines.py
@@ -33,7 +33,7 @@
         text = line.strip()
         if not self._lines:
             if text != b"{":
-                return _parse(text) if text else None
+                return parse_object(text) if text else None
             self._last = line.rstrip().replace(b"{", b"}")
         self._lines.append(line)
         self._size += len(line)
@@ -43,10 +43,11 @@
             return None
         whole = b"\n".join(self._lines)
         self._lines, self._size = [], 0
-        return _parse(whole)
+        return parse_object(whole)
 
 
-def _parse(text: bytes) -> dict[str, Any]:
+def parse_object(text: bytes) -> dict[str, Any]:
+    """One object of JSON; BadObject for what is none."""
     try:
         found = json.loads(text)
     except (ValueError, RecursionError) as error:
--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -63,7 +63,7 @@
 ORDERS_KEPT = 2048  # rendezvous orders remembered; beyond it all are worked out afresh
 REPEAT_MARGIN_MS = 220.0  # before a repeat window's end: 150 ms that a process may be held, and the way there
 CROWD = 8  # so many dispatchers that hear nothing of each other fill a worker between two sends of one
-FORGET_MS = 60_000.0  # a worker that has left is remembered for so long: it may come back within a turn
+FORGET_MS = 60_000.0  # a worker that has left is remembered for so long, or two turns if these are longer
 ASK_AGAIN_SHARE = 0.2  # share of must_ask_in_ms after which a failed subscription is asked for again
 FOREVER, NEVER = 1e18, -1e18
 MASK, ODD = (1 << 64) - 1, 0x9E3779B97F4A7C15
@@ -112,7 +112,6 @@
     cold_most: float = 0.0  # that may be spent in the turn; 0 once it is warm
     others: float = 0.0  # slots that other dispatchers fill, as far as that is told
     size: float = 1.0  # slots it has, by the list
-    number: int = 0  # in the order in which they were heard of
 
 
 @dataclass(slots=True, eq=False)
@@ -167,16 +166,14 @@
     def __init__(self, settings: api.Settings) -> None:
         self.settings = settings
         self.workers: dict[int, Worker] = {}
-        self.heard_of = 0  # workers in all
         self.left: dict[int, float] = {}  # those not up, and since when, the oldest first
-        self.up = 0
+        self.forget_ms = max(FORGET_MS, 2 * settings.fall_ms)
         self.cold: dict[int, Worker] = {}  # those up that have started lately
         self.slice_bits = 0
         # by slice of the hashes: the workers up; these by kind; and rendezvous orders by key, kind and homes
         self.slices: dict[int, dict[int, Worker]] = {}
         self.pools: dict[int, dict[int, list[Worker]]] = {}
         self.orders: dict[int, dict[tuple[int, int, int], list[Worker]]] = {}
-        self.orders_kept = 0
         self.salt, self.turn, self.ours = mix(settings.me + 1), -1, list[Worker]()  # the turn at cold workers
         self.stride = stride(settings.dispatchers)
         self.places: tuple[int, ...] = (settings.me,)  # whose turns are ours, but for the first part of each
@@ -231,8 +228,7 @@
 
     def add(self, worker: int, now: float) -> Worker:
         """A worker that is heard of for the first time; it is not up yet."""
-        w = self.workers[worker] = Worker(worker, mix(worker), number=self.heard_of)
-        self.heard_of += 1
+        w = self.workers[worker] = Worker(worker, mix(worker))
         self.left[worker] = now
         return w
 
@@ -241,7 +237,6 @@
         if w.up is up:
             return
         w.up = up
-        self.up += 1 if up else -1
         part = w.hash >> 64 - self.slice_bits
         self.clear_slice(part)
         if up:
@@ -257,11 +252,11 @@
     def clear_slice(self, part: int) -> None:
         """What was worked out from the workers of a slice holds no more."""
         self.pools.pop(part, None)
-        self.orders_kept -= len(self.orders.pop(part, ()))
+        self.orders.pop(part, None)
 
     def slice_again(self) -> None:
         """Divide the workers anew where their number has passed a power of two."""
-        bits = (self.up // (POOL_MOST + 1)).bit_length()
+        bits = (sum(map(len, self.slices.values())) // (POOL_MOST + 1)).bit_length()
         if bits == self.slice_bits:
             return
         self.slice_bits = bits
@@ -275,13 +270,12 @@
         """Nothing that was worked out holds any more."""
         self.pools.clear()
         self.orders.clear()
-        self.orders_kept = 0
 
     def forget_left(self, now: float) -> None:
         """Guards memory: of a worker that left long ago, and for which nothing is out, nothing is kept."""
         while self.left:
             oldest, since = next(iter(self.left.items()))
-            if now - since <= FORGET_MS:
+            if now - since <= self.forget_ms:
                 return
             del self.left[oldest]
             if self.workers[oldest].own:
@@ -305,9 +299,8 @@
         """
         key, part = (job.hash, job.kind.kind, homes), job.hash >> 64 - self.slice_bits
         if (found := self.orders.get(part, {}).get(key)) is None:
-            if self.orders_kept >= ORDERS_KEPT:
+            if sum(map(len, self.orders.values())) >= ORDERS_KEPT:
                 self.orders.clear()
-                self.orders_kept = 0
             wide = self.fleet or self.unheard
             walk = POOL_MOST if wide else max(WALK, homes + WALK // 2)
             found = sorted(top(self.pool(job.kind.kind, job.hash), job.hash, walk), key=self.foreign)
@@ -316,7 +309,6 @@
                 rest = top(found[homes + NEAR :], job.hash ^ self.salt, walk)
                 found[homes + NEAR :] = sorted(rest, key=self.foreign)
             self.orders.setdefault(part, {})[key] = found
-            self.orders_kept += 1
         return found
 
     def foreign(self, w: Worker) -> bool:
@@ -385,8 +377,7 @@
             self.turn = turn
             for w in [w for w in self.cold.values() if now - w.since_ms >= self.settings.cold_ms]:
                 del self.cold[w.id]
-            ours = [w for w in self.cold.values() if self.cold_budget(w, now) > 0]
-            self.ours = sorted(ours, key=lambda w: w.number)
+            self.ours = [w for w in self.cold.values() if self.cold_budget(w, now) > 0]
         return self.ours
 
     def count_sent(self, w: Worker, job: Job, now: float) -> None:
--- a/spoolpier/settings.py
+++ b/spoolpier/settings.py
@@ -49,14 +49,19 @@
     return int(value)
 
 
+def amount(table: dict[str, Any], name: str, where: str = "") -> float:
+    """A required setting that has to be a number of 0 or more."""
+    value = number(table, name, where)
+    if not value >= 0:
+        raise ValueError(f"{where}{name}: must not be negative, not {value:g}")
+    return value
+
+
 def optional(table: dict[str, Any], name: str, default: float, where: str = "") -> float:
     """A setting that may be absent, and has to be a number of 0 or more where it is there."""
     if not isinstance(table, dict):
         raise ValueError(f"{where.rstrip('.')}: not an object: {table!r}")
-    value = number({name: default, **table}, name, where)
-    if not value >= 0:
-        raise ValueError(f"{where}{name}: must not be negative, not {value:g}")
-    return value
+    return amount(table, name, where) if name in table else default
 
 
 def choice(table: dict[str, Any], name: str, choices: dict[str, Any], where: str = "") -> Any:
@@ -81,7 +86,7 @@
 
         classes.append(
             api.JobClass(
-                aim_ms=optional(entry, "target_ms", number(entry, "target_ms", where), where),
+                aim_ms=amount(entry, "target_ms", where),
                 deadline_ms=above(entry, "deadline_ms", 0.0, where),
                 aim_stretch=optional(entry, "aim_stretch", of_family("class_stretch", 0.0), where),
                 worth=optional(entry, "gain", 1.0, where),
@@ -125,7 +130,7 @@
         nominal_weights=env.get("weights", "none") != "none",
         max_retry_after_ms=retry_after,
         cold_share=above(rules, "cold_share", 0.0, "rules."),
-        cold_ms=optional(rules, "cold_ms", number(rules, "cold_ms", "rules."), "rules."),
+        cold_ms=amount(rules, "cold_ms", "rules."),
         fall_multiple=above(rules, "fall_multiple", 0.0, "rules."),
         fall_ms=above(rules, "fall_ms", 0.0, "rules."),
         fee_cross_zone=optional(fees, "cross_zone", 0.0, "fees."),
