--- a/pebbledrift/cores/core.py
+++ b/pebbledrift/cores/core.py
@@ -75,7 +75,7 @@
 
     def turn(self) -> int:
         """The turn at cold workers, as the decision module counts it."""
-        return int((self.clock.now_ms() + self.clock.ahead_ms()) // self.fall_ms)
+        return int(self.clock.common_ms() // self.fall_ms)
 
     def take_cold(self, worker: int, turn: int, work: float, most: float) -> bool:
         """Spend from a cold worker's budget."""
@@ -84,7 +84,7 @@
 
     def turn_over(self, turn: int) -> bool:
         """Whether a turn has passed, but for the time that a send takes to begin."""
-        return self.clock.now_ms() + self.clock.ahead_ms() > (turn + 1) * self.fall_ms + TURN_LATE_MS
+        return self.clock.common_ms() > (turn + 1) * self.fall_ms + TURN_LATE_MS
 
     def places(self) -> None:
         """Cores of one node have its turns together."""
@@ -114,7 +114,6 @@
         self.link = Link(socket.socket(fileno=start.link), self._told, self._orphaned)
         self.ending = asyncio.Event()
         self._taken = 0  # number of the last connection that was taken
-        self._parts = b""  # of news that come in several messages
         self._shown = 0
 
     async def run(self) -> None:
@@ -163,12 +162,9 @@
                 number = int(fields["n"])
                 self.fronts.take(descriptor, lambda: self._take(number))
             case "news":
-                self._parts += body
-                if not fields["more"]:
-                    news, self._parts = json.loads(self._parts), b""
-                    self.pool.follower.heard |= not fields["cached"]
-                    self.pool.take(news, cached=bool(fields["cached"]))
-                    self._publish()  # STATUS must not say no once /-/ready says yes
+                self.pool.follower.heard |= not fields["cached"]
+                self.pool.take(json.loads(body), cached=bool(fields["cached"]))
+                self._publish()  # STATUS must not say no once /-/ready says yes
             case "rely":
                 self.pool.rely(bool(fields["current"]))
                 self._publish()
