The time told to a worker is judged by what its worker held, not by a busy machine's clock

Checked: the node answers 25 ms before a client's time (answer_margin_ms), so 39.969 means that the node counted 6 ms; the rest, 0.18 s, lay between the client's thread and the node, or the node and the worker's thread, in a test process that shares eight cores with seven others. Ruled out: a clock read long before the write (net/destinations.py, _request reads it as it makes the bytes). At fault: the test took its own process's hold for the node's. Change: two checks in its place. Each attempt is told no more than the budget, and each later one no more than the one before less the time its worker held the job, to 2 ms: exact on any machine, where 150 ms were let pass before. And in each class one job of three at least is within the old slack, which a node that tells too much cannot meet. The first worker holds each job a tenth of its time, 0.25 s at most. With a node that tells each attempt the first one's time the test is red (39.966 over 39.717).

--- a/tests/test_drawn_settings.py
+++ b/tests/test_drawn_settings.py
@@ -20,6 +20,9 @@
 GROUPS = ("all", "zone", "cell")
 SOCKETS_S = 0.05  # by which times are longer on sockets (PROTOCOL, "The rules on sockets")
 TOLD_S = 0.15  # slack of the time that a worker is told (STANDING)
+ROUNDED_S = 0.002  # by which a told time and two clocks' readings are off
+HELD_SHARE = 0.1  # of a job's time, for which its first worker holds it
+HELD_MOST_S = 0.25
 BUSY_S = (
     1.0  # that a busy machine may take beyond a client's time: the rule itself is tests/test_failures.py's
 )
@@ -34,6 +37,7 @@
     zone: str
     at: float
     told_s: float
+    held_s: float  # between the worker's reading of the request and its answer, at least
 
 
 def drawn(seed: int) -> dict[str, Any]:
@@ -91,10 +95,13 @@
 
     def fail_once(self, worker: Worker, request: Server, job: str) -> None:
         told = float(request.headers["X-Budget"])
-        self.runs.put(Run(job, worker.uid, worker.zone, time.monotonic(), told))
+        at = time.monotonic()
         with self.guard:
             first = job not in self.failed
             self.failed.add(job)
+        if first:
+            time.sleep(min(told * HELD_SHARE, HELD_MOST_S))
+        self.runs.put(Run(job, worker.uid, worker.zone, at, told, time.monotonic() - at))
         if first:
             request.reply(500)
             return
@@ -120,6 +127,7 @@
     def judge(self, seed: int, settings: dict[str, Any], node: Node) -> None:
         caller = settings["tenants"][0]["name"] if settings["tenants"] else "nobody"
         for number, kind in enumerate(settings["classes"]):
+            late = []
             for i in range(3):
                 job, budget = f"d{seed}-{number}-{i}", kind["deadline_ms"] / 1000
                 headers = {"X-Call-Id": job, "X-Caller": caller, "X-Budget": f"{budget:.3f}"}
@@ -131,15 +139,19 @@
                 self.assertLess(took, budget + SOCKETS_S + BUSY_S, kind)
                 mine = [run for run in list(self.runs.queue) if run.job == job]
                 with self.subTest(seed=seed, kind=kind, status=status, runs=mine):
-                    self.check(kind, status, body, mine, began, budget)
+                    self.check(kind, status, body, mine, budget)
+                late.append(max((run.told_s - (budget - (run.at - began)) for run in mine), default=0.0))
+            # a held machine adds to one job of three; a node that tells too much does so each time
+            self.assertLessEqual(min(late), TOLD_S, (kind, late))
 
-    def check(
-        self, kind: dict[str, Any], status: int, body: bytes, mine: list[Run], began: float, budget: float
-    ) -> None:
+    def check(self, kind: dict[str, Any], status: int, body: bytes, mine: list[Run], budget: float) -> None:
         """One job's attempts and its answer, by its class's effect."""
         self.assertIn(status, (200, 429, 500, 502, 503, 504))
+        # what a worker held a job for has passed between the two writes, however slow the machine is
+        left = budget
         for run in mine:
-            self.assertLessEqual(run.told_s, budget - (run.at - began) + TOLD_S)
+            self.assertLessEqual(run.told_s, left + ROUNDED_S)
+            left = run.told_s - run.held_s
         if kind["idempotency"] == "once":
             self.assertLessEqual(len(mine), 1)
             # it may have run: to call it refused would be a promise that a repeat is harmless
