A disk that fails for a while: nothing is promised that is not kept, and the rest goes on

Seen: with ENOSPC, EIO or half a write below SQLite (tests/faults/disk.c, preloaded), a real node - answered INSERTED to a put that it had not kept; - sent a job that must not run twice without its intent on the disk, at the second try: table.set finds the value of the failed first try in memory and writes nothing, and the sync after it goes well. After a kill the next life called that job refused; - refused jobs of the other classes, for whom nothing rests on the note; - did not obey a peer that took a worker out: the file is the first listener, and its error kept the others from hearing; - sent no more sums to its peers once one old removal could not be deleted; - ended with a traceback, and did not start on a full disk after a kill (no room for the shared index). Ruled out: the module's part. A job whose intent failed goes to no worker twice, and to another one. At fault: store/disk.py append, forgotten, close, _connect, and read, which took a file for damaged that could not be looked at; store/service.py note_put, remember; fronts/beanstalk.py put. Change: a change of the table that cannot be written stays owed and is written before later ones, tried each second; promises ask for it by name (catch_up, sync). A put is noted before it is taken in. On a full disk the file is opened for this process alone, and shared once it is well. test_disk's full file: the error comes from catch_up now, as the table itself goes on; the bound is the same.

--- a/pebbledrift/fronts/beanstalk.py
+++ b/pebbledrift/fronts/beanstalk.py
@@ -147,7 +147,9 @@
         self.counts: dict[str, int] = {}
         self.bytes = 0
         self.reply_deleted: Callable[[str], None] = lambda job: None
-        self.noted: Callable[[str, str, TubeConfig], None] = lambda job, state, tube: None
+        # notes a job before it is acknowledged; OSError: it cannot be kept
+        self.promised: Callable[[str, TubeConfig], None] = lambda job, tube: None
+        self.never_begun: Callable[[str, TubeConfig], None] = lambda job, tube: None
         self._loop = asyncio.get_running_loop()
         self._commands: dict[str, tuple[int, Callable[[Session, list[str]], None]]] = {
             "use": (1, self._use),
@@ -280,13 +282,18 @@
         else:
             job = self._new_job(session.use, body, pri, delay, max(1, ttr))
             job.mapping = tube
+            try:
+                # guards what is acknowledged: it gets its answer even after a restart
+                self.promised(self._operation_id(job), tube)
+            except OSError:
+                self._forget(job)
+                socket.reply("OUT_OF_MEMORY")  # nothing of it has run, and a later try may be taken
+                return
             self._count("total-jobs")
             if delay:
                 self._set(job, "delayed", delay * 1000.0, self._delay_over)
-                self.noted(self._operation_id(job), "taken", tube)
             else:
                 self._submit(job, tube)
-            # only now, when it is noted: what is acknowledged gets its answer even after a restart
             socket.reply(f"INSERTED {job.id}")
 
     # -- operations
@@ -405,7 +412,7 @@
     def _never_begun(self, job: Job, reason: str) -> None:
         """Put and still in its delay: its answer is owed all the same."""
         if job.mapping is not None:
-            self.noted(self._operation_id(job), Verdict.REFUSED.value, job.mapping)
+            self.never_begun(self._operation_id(job), job.mapping)
             self.engine.figures.answered(job.mapping.job_class, Verdict.REFUSED)
             self.post_answer(job.id, job.mapping, Answer(Verdict.REFUSED, reason=reason))
 
--- a/pebbledrift/node.py
+++ b/pebbledrift/node.py
@@ -392,7 +392,7 @@
             # guards the store's file and the tubes' ids: they have one owner
             log.warning("tubes wait for the older process to end")
             await self.upgrade.alone.wait()
-            self.store.read_again()
+            await self.store.read_again()
         self.tubes = front = start_beanstalk(self.config, self.engine, self.clock, self.pool, self.store)
         where = self.config.beanstalk.listen
 
@@ -429,7 +429,8 @@
     store.inventory_changed = inventory_changed
     store.tubes_changed = tubes.take_tubes
     tubes.reply_deleted = store.answer_fetched
-    tubes.noted = store.note_put
+    tubes.promised = store.promise
+    tubes.never_begun = store.note_refused
     store.load(config, inventory.read(config.inventory) if config.inventory else [])
     store.recover(recovered)
     return tubes
--- a/pebbledrift/store/disk.py
+++ b/pebbledrift/store/disk.py
@@ -15,7 +15,7 @@
 import sqlite3
 import time
 import zlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -45,22 +45,36 @@
     return zlib.crc32(text + value)
 
 
+def _unreadable(error: Exception) -> bool:
+    """Whether a file could not be looked at (no place, no right, in use, a bad disk): it may be sound."""
+    return isinstance(error, sqlite3.OperationalError) and "malformed" not in str(error)
+
+
 class Disk:
-    """A table's entries and the node's own state, in a file. Raises OSError where it cannot be written."""
+    """A table's entries and the node's own state, in a file.
+
+    A change of the table that cannot be written stays owed (`unwritten`), and is written before later ones.
+    The table goes on, and `sync` raises OSError until the file has all of it.
+    """
 
     def __init__(self, path: str, table: Table) -> None:
         self.path = Path(path)
         self.table = table
         self.damaged = 0  # rows, or the file itself, that were set aside
         self.known = False  # the file was there before: what it says is a memory
+        self.locked = False  # opened for this process alone, as there was no room for more
+        self.unwritten: dict[str, Entry] = {}  # changes that the file does not have, in their order
+        self.failed: Callable[[OSError], None] = lambda error: None  # told of each change that stays owed
         lines = self._earlier_form()
         self.db = self._open()
         for raw in lines:
             self._take_line(raw)
         try:
-            self.read()
+            self._read()
         except (sqlite3.DatabaseError, UnicodeError) as error:  # what the check did not look into
             self.db.close()
+            if _unreadable(error):
+                raise DiskError(f"{self.path}: {error}") from error
             self._set_aside(str(error))
             self.db = self._connect()
             for entry in table.entries.values():  # what could be read, each under its checksum
@@ -73,21 +87,42 @@
     def _open(self) -> sqlite3.Connection:
         self.known = self.known or self.path.exists()
         try:
-            return self._connect()
+            return self._connect_on_any_disk()
         except DiskError:
             raise
         except (sqlite3.DatabaseError, UnicodeError) as error:
-            if isinstance(error, sqlite3.OperationalError) and "malformed" not in str(error):
-                raise DiskError(f"{self.path}: {error}") from error  # no place, no right, or in use
+            if _unreadable(error):
+                raise DiskError(f"{self.path}: {error}") from error
             self._set_aside(str(error))
             return self._connect()
 
-    def _connect(self) -> sqlite3.Connection:
+    def _connect_on_any_disk(self) -> sqlite3.Connection:
+        """A full disk has no room for the index that processes share: one alone has it in its memory."""
+        try:
+            return self._connect()
+        except sqlite3.OperationalError as error:
+            if not self.known or not _unreadable(error) or "locked" in str(error):
+                raise
+        found = self._connect(alone=True)
+        self.locked = True
+        return found
+
+    def share(self) -> None:
+        """The disk is well: have the file open as other processes may have it too."""
+        if self.locked:
+            with self._errors():
+                self.db.close()
+                self.db = self._connect()
+            self.locked = False
+
+    def _connect(self, alone: bool = False) -> sqlite3.Connection:
         written = self.path.exists() and self.path.stat().st_size > 0
         db = sqlite3.connect(self.path, timeout=BUSY_MS / 1000, isolation_level=None)
         # a damaged row is to be seen by its checksum
         db.text_factory = lambda text: text.decode(errors="surrogateescape")
         try:
+            if alone:
+                db.execute("PRAGMA locking_mode=EXCLUSIVE")
             found = db.execute("PRAGMA quick_check").fetchall()
             if found != [("ok",)]:
                 raise sqlite3.DatabaseError(f"malformed: {found[0][0]}")
@@ -102,7 +137,8 @@
             db.execute(f"PRAGMA max_page_count={max(64, self.table.limits.store_file_bytes // page)}")
             for name, columns in TABLES.items():
                 db.execute(f"CREATE TABLE IF NOT EXISTS {name} {columns}")
-            db.execute(f"PRAGMA user_version={SCHEMA}")
+            if version != SCHEMA:  # a start on a full disk has nothing to write
+                db.execute(f"PRAGMA user_version={SCHEMA}")
         except BaseException:
             db.close()
             raise
@@ -152,8 +188,17 @@
         if self.table.merge(entry):
             self._write(entry)
 
-    def read(self) -> None:
-        """Take in what the file says: at the start, and once another process has ended that wrote to it."""
+    def read_again(self) -> None:
+        """Take in what another process, now ended, wrote. Raises OSError where that cannot be looked at."""
+        try:
+            self._read()
+        except sqlite3.OperationalError as error:
+            if not _unreadable(error):
+                raise
+            raise OSError(f"{self.path}: {error}") from error
+
+    def _read(self) -> None:
+        """Take in what the file says."""
         for key, value, ms, writer, checksum in self.db.execute("SELECT * FROM entries").fetchall():
             try:
                 data = None if value is None else bytes(value)
@@ -162,26 +207,37 @@
                     raise ValueError("checksum does not match")
             except (TypeError, ValueError) as error:
                 self._aside("entries", (key, value, ms, writer, checksum), str(error))
-                self.db.execute("DELETE FROM entries WHERE key IS ?", (key,))
+                with contextlib.suppress(sqlite3.OperationalError):  # damaged at the next start too
+                    self.db.execute("DELETE FROM entries WHERE key IS ?", (key,))
                 continue
             self.table.merge(entry)
 
     def _aside(self, source: str, row: object, reason: str) -> None:
         self.damaged += 1
-        self.db.execute("INSERT INTO damaged VALUES (?, ?, ?)", (source, repr(row)[:4096], time.time()))
+        with contextlib.suppress(sqlite3.OperationalError):  # a full disk: the log has it
+            self.db.execute("INSERT INTO damaged VALUES (?, ?, ?)", (source, repr(row)[:4096], time.time()))
         told = {"source": source, "row": repr(row)[:120], "reason": reason}
         log.error("row damaged, set aside", extra=told)
 
     # -- entries
 
     def append(self, entry: Entry) -> None:
-        """Write a change of the table."""
+        """Write a change of the table, or owe it."""
+        self.unwritten[entry.key] = entry
         try:
-            point("disk.write")
-            self._write(entry)
-            point("disk.written")
-        except sqlite3.Error as error:
-            raise OSError(f"{self.path}: {error}") from error
+            self.catch_up()
+        except OSError as error:
+            self.failed(error)
+
+    def catch_up(self) -> None:
+        """Write what is owed. Raises OSError where something still is."""
+        with self._errors():
+            while self.unwritten:
+                key, entry = next(iter(self.unwritten.items()))
+                point("disk.write")
+                self._write(entry)
+                point("disk.written")
+                del self.unwritten[key]
 
     def _write(self, entry: Entry) -> None:
         values = (entry.key, entry.value, entry.version.ms, entry.version.writer, crc(entry))
@@ -194,12 +250,19 @@
         )
 
     def forgotten(self, keys: Iterable[str]) -> None:
-        """The table has dropped these for good."""
-        with self._errors():
-            self.db.executemany("DELETE FROM entries WHERE key = ?", [(key,) for key in keys])
+        """The table has dropped these for good. Where the file keeps them, they go at a later start."""
+        gone = list(keys)
+        for key in gone:
+            self.unwritten.pop(key, None)
+        try:
+            with self._errors():
+                self.db.executemany("DELETE FROM entries WHERE key = ?", [(key,) for key in gone])
+        except OSError as error:
+            self.failed(error)
 
     def sync(self) -> None:
-        """Return when all that was written is on the disk."""
+        """Return when all changes are on the disk. Raises OSError where one is not."""
+        self.catch_up()
         point("disk.sync")
         with self.synced() as db:
             db.execute("INSERT OR REPLACE INTO state VALUES ('synced', '', 0)")
@@ -227,7 +290,8 @@
 
     def load_state(self, name: str) -> Any:
         """What was saved under a name, or None; what is damaged is set aside and None."""
-        row = self.db.execute("SELECT value, crc FROM state WHERE name = ?", (name,)).fetchone()
+        with self._errors():
+            row = self.db.execute("SELECT value, crc FROM state WHERE name = ?", (name,)).fetchone()
         if row is None:
             return None
         try:
@@ -261,9 +325,11 @@
                 target.close()
 
     def close(self) -> None:
-        """End the file."""
-        self.sync()
-        self.db.close()
+        """End the file. Raises OSError where a change is lost with it."""
+        try:
+            self.sync()
+        finally:
+            self.db.close()
 
     def _errors(self) -> _Errors:
         return _Errors(self.path)
--- a/pebbledrift/store/service.py
+++ b/pebbledrift/store/service.py
@@ -27,6 +27,7 @@
 
 HOST, TUBE, NODE, OPERATION = "host/", "tube/", "node/", "op/"
 FINAL = frozenset(v.value for v in Verdict)
+DISK_RETRY_S = 1.0  # between two tries of a disk that fails
 
 
 class NodeStore:
@@ -35,10 +36,16 @@
     def __init__(self, config: Config, clock: Clock, peers: PeerSocket | None) -> None:
         self.config = config
         self.clock = clock
+        self._loop = asyncio.get_running_loop()
         self.table = Table(config.limits, config.settings.me, clock.now_ms)
         self.disk: Disk | None = None
+        self._unsaved: dict[str, Any] = {}  # the node's own state that the file does not have
+        self._disk_retry: asyncio.TimerHandle | None = None
         if config.store_file:
             self.disk = _open(config.store_file, self.table)
+            self.disk.failed = self._disk_failed
+            if self.disk.locked:
+                self._disk_failed(OSError("no room beside the file"))
         self.replica: Replica | None = None
         if peers is not None:
             others = tuple(a for i, a in enumerate(config.peers) if i != config.settings.me)
@@ -48,7 +55,6 @@
         self.inventory_changed: Callable[[list[Host]], None] = lambda hosts: None
         self.tubes_changed: Callable[[list[TubeConfig]], None] = lambda tubes: None
         self._due: set[str] = set()
-        self._loop = asyncio.get_running_loop()
         self.table.listeners.append(self._changed)
         # workers that this node remembers may have been taken out while it was down
         self.trusted = self.disk is None or not any(self.table.items(HOST))
@@ -77,18 +83,55 @@
     # -- the node's own state
 
     def remember(self, name: str, value: Any) -> None:
-        """Keep a value over restarts, where there is a file. Raises OSError where it cannot be kept."""
-        if self.disk is not None:
+        """Keep a value over restarts, where there is a file.
+
+        Raises OSError where it cannot be kept now. It will be once the disk is well, if the process lives on.
+        """
+        if self.disk is None:
+            return
+        self._unsaved[name] = value
+        try:
             self.disk.save_state(name, value)
+        except OSError as error:
+            self._disk_failed(error)
+            raise
+        del self._unsaved[name]
 
     def recall(self, name: str) -> Any:
         """What was kept under a name; None where nothing was."""
         return self.disk.load_state(name) if self.disk is not None else None
 
-    def read_again(self) -> None:
-        """Another process has ended that wrote to the same file."""
-        if self.disk is not None:
-            self.disk.read()
+    async def read_again(self) -> None:
+        """Another process has ended that wrote to the same file; a disk that fails is waited for."""
+        while self.disk is not None:
+            try:
+                self.disk.read_again()
+                return
+            except OSError as error:
+                self._disk_failed(error)
+                await asyncio.sleep(DISK_RETRY_S)
+
+    # -- a disk that fails
+
+    def _disk_failed(self, error: OSError) -> None:
+        """Something is owed to the file: said once, and tried again until it is paid."""
+        if self._disk_retry is None:
+            log.error("store not written", extra={"error": str(error)})
+            self._disk_retry = self._loop.call_later(DISK_RETRY_S, self._pay_disk)
+
+    def _pay_disk(self) -> None:
+        assert self.disk is not None
+        try:
+            self.disk.share()
+            self.disk.sync()
+            for name, value in list(self._unsaved.items()):
+                self.disk.save_state(name, value)
+                del self._unsaved[name]
+        except OSError:
+            self._disk_retry = self._loop.call_later(DISK_RETRY_S, self._pay_disk)
+            return
+        self._disk_retry = None
+        log.warning("store written again")
 
     # -- inventory and configuration
 
@@ -155,19 +198,36 @@
         self._note(key, state, operation.job_class, operation.origin)
         once = self.config.settings.classes[operation.job_class].effect is api.Effect.UNSAFE
         if state == "sent" and once and self.disk is not None:
-            self.disk.sync()
+            self._sync(self.disk)
         if state in FINAL:
             self._loop.call_later(self.config.limits.finished_ms / 1000, self.table.remove, key)
 
-    def note_put(self, job: str, state: str, tube: TubeConfig) -> None:
-        """Note the state of a job that is acknowledged but whose operation begins only after its delay."""
-        self._note(self._key(job), state, tube.job_class, tube.name)
+    def promise(self, job: str, tube: TubeConfig) -> None:
+        """Note a job before it is acknowledged. Raises OSError where it cannot be kept."""
+        if self.disk is not None:
+            self.disk.catch_up()  # a disk that fails already: nothing is noted, of which peers would hear
+        key = self._key(job)
+        self._note(key, "taken", tube.job_class, tube.name, must=True)
+        if self.disk is not None and self.disk.unwritten:
+            self.table.remove(key)
+            raise OSError(f"{key}: not written")
+
+    def note_refused(self, job: str, tube: TubeConfig) -> None:
+        """Note that a job whose operation has not begun never will."""
+        self._note(self._key(job), Verdict.REFUSED.value, tube.job_class, tube.name)
 
-    def _note(self, key: str, state: str, job_class: int, origin: str) -> None:
+    def _sync(self, disk: Disk) -> None:
+        try:
+            disk.sync()
+        except OSError as error:
+            self._disk_failed(error)
+            raise
+
+    def _note(self, key: str, state: str, job_class: int, origin: str, must: bool = False) -> None:
         try:
             self.table.set(key, [state, job_class, origin[:64]])
         except StoreError as error:
-            if state == "sent" and self.disk is not None:
+            if (must or state == "sent") and self.disk is not None:
                 raise OSError(str(error)) from error
             log.warning("state not kept", extra={"key": key, "error": str(error)})
 
@@ -203,8 +263,14 @@
 
     def close(self) -> None:
         """End the file."""
-        if self.disk is not None:
+        if self._disk_retry is not None:
+            self._disk_retry.cancel()
+        if self.disk is None:
+            return
+        try:
             self.disk.close()
+        except OSError as error:
+            log.error("store not written at the end", extra={"error": str(error)})
 
 
 def _open(path: str, table: Table) -> Disk:
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -172,6 +172,7 @@
         with self.assertRaisesRegex(OSError, "full"):
             for i in range(20_000):
                 found.set(f"op/{i}", "x" * 140)
+                disk.catch_up()
                 written = i
         self.assertGreater(written, 300)
         with self.assertRaises(OSError):
