Slow start with 24 real processes that know nothing of each other, one of them restarted

Checked: 23 clients' floods and a node killed and begun anew, requests counted at the worker in each window. Change: tests/test_slow_start.py only.

--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -4,13 +4,17 @@
 
 import math
 import random
+import threading
+import time
 import unittest
 from collections.abc import Iterable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field, replace
 
 from spoolpier import Dispatcher
 from spoolpier import interface as api
 from tests.helpers import job, outcome, sends, settings
+from tests.node import SETTINGS, Discovery, Node, NodeTest, Server, Worker, ask, eventually
 
 COLD, WARM = 1, 2
 START_MS = 1_000_000.0
@@ -181,3 +185,74 @@
     def test_the_nodes_that_know_keep_to_it_whatever_the_others_do(self) -> None:
         for nodes in (3, 24):
             self.play(nodes, 4, told_late=0.4)
+
+
+class RealNodesTest(NodeTest):
+    """Processes that know nothing of each other, before one worker that has just started."""
+
+    COUNT = 24
+    COST_MS = 40.0
+    FALL_S = 2.0
+    SLOTS = 4.0  # of the settings' kind of worker
+    SHARE = 0.05
+    COLD_S = 120.0
+
+    def test_twenty_four_nodes_and_one_that_restarts_keep_to_the_budget_of_one_worker(self) -> None:
+        came: list[float] = []
+        nodes: dict[int, Node] = {}
+
+        def count(worker: Worker, request: Server, name: str) -> None:
+            came.append(time.monotonic())
+            request.reply(202)
+            worker.call(name, "started")
+            worker.call(name, "done", result="ran")
+
+        class Told(Worker):
+            """Calls the node back whose number the job's name begins with."""
+
+            def call(self, job: str, state: str, **more: object) -> int:
+                self.node = nodes[int(job.partition(".")[0])].address
+                return super().call(job, state, **more)
+
+        worker = Told("s-1", count)
+        booted, began = time.time(), time.monotonic()
+        spans = {"cold_share": self.SHARE, "cold_ms": self.COLD_S * 1000, "fall_ms": self.FALL_S * 1000}
+        rules = {**SETTINGS["rules"], **spans}
+        discovery = Discovery([{**worker.target(), "boot_ms": booted * 1000}])
+        for stand_in in (discovery, worker):
+            self.addCleanup(stand_in.close)
+
+        def begin(number: int) -> None:
+            nodes[number] = self.start(
+                listen="127.0.0.1:0",
+                discovery=discovery.address,
+                settings={**SETTINGS, "balancers": self.COUNT, "me": number, "rules": rules},
+                name=f"n{number}",
+            )
+            eventually(lambda: ask(nodes[number].address, "GET", "/-/ready")[0] == 200)
+
+        with ThreadPoolExecutor(8) as several:
+            list(several.map(begin, range(self.COUNT)))
+        ends = time.monotonic() + 4 * self.FALL_S
+
+        def flood(number: int) -> None:
+            index = 0
+            while time.monotonic() < ends:
+                index += 1
+                cost = {"X-Call-Cost": f"{self.COST_MS * 1000}"}
+                nodes[number].job(f"{number}.{index}", budget=0.1, sid=f"{index:x}", **cost)
+
+        floods = [threading.Thread(target=flood, args=(number,)) for number in range(1, self.COUNT)]
+        for one in floods:
+            one.start()
+        nodes[0].kill()
+        begin(0)
+        flood(0)
+        for one in floods:
+            one.join()
+        self.assertGreater(len(came), 0)
+        for first, at in enumerate(came):
+            within = sum(at <= other < at + self.FALL_S for other in came[first:])
+            grown = self.SHARE + (1 - self.SHARE) * (at + self.FALL_S - began) / self.COLD_S
+            stands = 4.0 * grown * self.SLOTS * SLOWEST * self.FALL_S * 1000
+            self.assertLessEqual(within, allowance(stands / self.COST_MS))
