Lists in bad forms: a drain is obeyed whatever stands beside it, and unknown zones are not one

Ruled out, green before: what is no JSON, deep nesting, an object without an end, a head that trickles, a long list that comes slowly. At fault: pool.py take and _entry, which changed the pool before all was read; incarnations.py heard; follower.py Watch.fed, _line. Change: an entry is read in full before anything is changed; of one that cannot be read, what is known of its worker stays, in the state told, or draining where that cannot be read either. Numbers are finite and bounded. Each unknown zone or cell is its own. 1 KB, or the end of an object, is a sign of life of a watch.

--- a/pebbledrift/discovery/follower.py
+++ b/pebbledrift/discovery/follower.py
@@ -20,6 +20,9 @@
 log = logging.getLogger(__name__)
 
 
+PROGRESS_BYTES = 1024  # of an object that is not whole yet: fewer within a silence's time are none
+
+
 class Follower:
     """Follows one discovery. `take` gets its objects in order: a list (`all`) or changes since the last.
 
@@ -293,6 +296,8 @@
         self.loop = asyncio.get_running_loop()
         self.ended: asyncio.Future[None] = self.loop.create_future()
         self.timer: asyncio.TimerHandle | None = None
+        self._taken = 0  # bytes of the lines that were taken
+        self._at_sign = 0  # bytes that had come at the last sign of life
 
     def begin(self, target: str, host: str) -> None:
         """Ask for the changes."""
@@ -304,6 +309,7 @@
 
     def message_received(self, message: Message) -> None:
         self.head = message
+        self._alive()
         if message.status != 200:
             log.info("watch refused", extra={"status": message.status})
             self.abort()
@@ -312,13 +318,18 @@
         head = self.head
         if head is None or head.status != 200:
             return
-        self._alive()
         lines = 0
         while (end := head.body.find(b"\n")) >= 0:
             line = bytes(head.body[:end])
             del head.body[: end + 1]
             lines += 1
+            self._taken += end + 1
             self._line(line)
+        # guards against a watch that trickles: what ends no object is a sign of life only if it is much
+        come = self._taken + len(head.body)
+        if (lines and not self.objects.inside) or come - self._at_sign >= PROGRESS_BYTES:
+            self._at_sign = come
+            self._alive()
         # in the middle of an object not all that was to be told has been taken in
         if lines and self.heard and not self.objects.inside:
             self.follower.alive(self.discovery)
@@ -327,7 +338,7 @@
 
     def _line(self, line: bytes) -> None:
         try:
-            news = self.objects.take(line)
+            news = self._object(line)
         except BadObject as error:
             # a gap in the changes could hide a drain: the whole list is asked for again
             log.warning("malformed line from discovery", extra={"error": str(error)})
@@ -339,6 +350,16 @@
             self.heard = True
             self.follower.told(news, self.discovery)
 
+    def _object(self, line: bytes) -> dict[str, Any] | None:
+        """The object that ends with a line, if one does; BadObject for what is neither list nor change."""
+        news = self.objects.take(line)
+        if news is None or isinstance(news.get("targets"), list):
+            return news
+        if "targets" in news or news.get("all"):
+            # a list without its targets would count as a fleet that has left
+            raise BadObject("targets: not a list")
+        return news
+
     def connection_lost(self, exc: Exception | None) -> None:
         if self.timer is not None:
             self.timer.cancel()
--- a/pebbledrift/discovery/incarnations.py
+++ b/pebbledrift/discovery/incarnations.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
+START_MOST_MS = 1e14  # no process can have started later, some three thousand years on
 KEPT_MOST = 4  # of one worker: the list and other nodes may name different ones for a while
 
 
@@ -26,7 +27,7 @@
         """A list, or its changes: none of these can have started later than now."""
         for target in targets if isinstance(targets, Iterable) else ():
             start = target.get("boot_ms", 0) if isinstance(target, Mapping) else 0
-            if _is_number(start):
+            if _can_be(start):
                 self._newest_ms = max(self._newest_ms, float(start))
 
     def since_ms(self, worker: int, told_ms: float, now_ms: float) -> float:
@@ -45,5 +46,6 @@
         self._known.pop(worker, None)
 
 
-def _is_number(value: Any) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool)
+def _can_be(start: Any) -> bool:
+    """Whether a process can have started then: one that cannot would make all others old."""
+    return isinstance(start, int | float) and not isinstance(start, bool) and 0 <= start <= START_MOST_MS
--- a/pebbledrift/pool.py
+++ b/pebbledrift/pool.py
@@ -5,6 +5,7 @@
 import functools
 import hashlib
 import logging
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
@@ -15,7 +16,7 @@
 from pebbledrift.core.engine import Engine
 from pebbledrift.core.model import Destination
 from pebbledrift.discovery.follower import Follower
-from pebbledrift.discovery.incarnations import Incarnations
+from pebbledrift.discovery.incarnations import START_MOST_MS, Incarnations
 from pebbledrift.net.destinations import HttpDestination, SocketBudget
 from spoolpier import interface as api
 
@@ -23,6 +24,8 @@
 
 LEFT_MOST = 16_384  # workers that have left whose names are remembered
 UNKNOWN_MOST = 256  # names that the settings lack, each of which the log is told of once
+SIZE_MOST = 1e6  # a worker's size
+UNREADABLE = (KeyError, TypeError, ValueError, OverflowError, ConfigError)  # of an entry of the list
 
 STATES = {
     "in_service": api.WorkerState.UP,
@@ -49,6 +52,25 @@
     return names.index(value) if value in names else len(names)
 
 
+def place_index(names: tuple[str, ...], value: object) -> int:
+    """The same for a zone or cell, of which no two unknown ones are alike.
+
+    Guards the repeats that only a worker's own zone or cell drops.
+    """
+    found = index(names, value)
+    if found == len(names) and not isinstance(value, int):
+        return len(names) + worker_number(repr(value))
+    return found
+
+
+def quantity(value: Any, most: float, key: str) -> float:
+    """A number of an entry; ValueError for one that no worker can have."""
+    number = float(value)
+    if not math.isfinite(number) or number > most:
+        raise ValueError(f"{key}: no such number")
+    return number
+
+
 class PoolConfig:
     """The destinations by number."""
 
@@ -205,10 +227,9 @@
         targets = news.get("targets")
         self.incarnations.heard(targets)
         for target in targets if isinstance(targets, list) else []:
-            try:
-                entries.append(self._entry(target))
-            except (KeyError, TypeError, ValueError, ConfigError) as error:
-                log.warning("entry passed over", extra={"entry": str(target)[:200], "error": str(error)})
+            entry = self._read(target)
+            if entry is not None:
+                entries.append(entry)
         full = bool(news.get("all"))
         if full or cached:
             named = {e.worker for e in entries}
@@ -220,31 +241,52 @@
         form = api.ListForm.CACHED if cached else api.ListForm.FULL if full else api.ListForm.DELTA
         self.engine.pool_changed(api.WorkerList(form, tuple(map(self._shown, entries))))
 
+    def _read(self, target: Any) -> api.WorkerEntry | None:
+        """An entry of the list; of one that cannot be read, what is known of its worker, in its new state."""
+        try:
+            return self._entry(target)
+        except UNREADABLE as error:
+            log.warning("entry passed over", extra={"entry": str(target)[:200], "error": str(error)})
+        try:
+            worker = worker_number(str(target["uid"]))
+        except UNREADABLE:
+            return None
+        known = self.entries.get(worker)
+        return None if known is None else self._in_state(known, target.get("state"))
+
+    def _in_state(self, known: api.WorkerEntry, told: object) -> api.WorkerEntry:
+        """A worker as it was known, in the state told: guards drains that stand beside what is unreadable."""
+        readable = isinstance(told, str) and told in STATES
+        state = STATES[str(told)] if readable else api.WorkerState.DRAINING
+        found = replace(known, state=state)
+        if state is api.WorkerState.REMOVED:
+            self._drop(known.worker)
+        else:
+            self.entries[known.worker] = found
+            self._tell(known.worker, found)
+        return found
+
     def _entry(self, target: Mapping[str, Any]) -> api.WorkerEntry:
         worker = worker_number(str(target["uid"]))
         state = STATES[target["state"]]
-        if state is api.WorkerState.REMOVED:
-            self._drop(worker)
-        else:
-            self._place(worker, address(target["endpoint"], "endpoint"))
-        for key, names in (("az", self.config.zones), ("model", self.config.kinds)):
-            value = target.get(key)
-            strange = isinstance(value, str) and value not in names and value not in self.unknown
-            if strange and len(self.unknown) < UNKNOWN_MOST:
-                self.unknown.add(str(value))
-                log.warning("not in the settings", extra={"key": key, "value": value})
-        boot_ms = float(target.get("boot_ms", 0))
+        boot_ms = max(0.0, quantity(target.get("boot_ms", 0), START_MOST_MS, "boot_ms"))
         # in full for one that has left too: jobs it may have run stay bound to its zone and cell
         entry = api.WorkerEntry(
             worker=worker,
-            zone=index(self.config.zones, target.get("az", 0)),
-            cell=index((), target.get("pod_group", 0)),
+            zone=place_index(self.config.zones, target.get("az", 0)),
+            cell=place_index((), target.get("pod_group", 0)),
             kind=index(self.config.kinds, target.get("model", 0)),
-            weight=float(target.get("capacity_hint", 1.0)),
+            weight=quantity(target.get("capacity_hint", 1.0), SIZE_MOST, "capacity_hint"),
             started_ms=boot_ms,
             begun_ms=self.incarnations.since_ms(worker, boot_ms, self.clock.now_ms()),
             state=state,
         )
+        # nothing is changed before all of it has been read
+        if state is api.WorkerState.REMOVED:
+            self._drop(worker)
+        else:
+            self._place(worker, address(target["endpoint"], "endpoint"))
+        self._say_unknown(target)
         if state is not api.WorkerState.REMOVED:
             self.entries[worker], self.targets[worker] = entry, target
             self._tell(worker, entry)
@@ -253,6 +295,14 @@
             logs.trace("listed", worker=worker, uid=uid, state=state.name.lower(), boot=boot)
         return entry
 
+    def _say_unknown(self, target: Mapping[str, Any]) -> None:
+        for key, names in (("az", self.config.zones), ("model", self.config.kinds)):
+            value = target.get(key)
+            strange = isinstance(value, str) and value not in names and value not in self.unknown
+            if strange and len(self.unknown) < UNKNOWN_MOST:
+                self.unknown.add(str(value))
+                log.warning("not in the settings", extra={"key": key, "value": value})
+
     def _place(self, worker: int, where: Address) -> None:
         known = self.destinations.get(worker)
         if known is not None and known.address == where and not known.pool.closed:
--- a/tests/test_write_checks.py
+++ b/tests/test_write_checks.py
@@ -60,7 +60,8 @@
         eventually(lambda: any("state=draining" in line for line in node.log))
         worker.open()
         self.assertEqual(answer.get()[0], 503)
-        self.assertEqual((worker.opened, worker.received), (1, b""))
+        eventually(lambda: worker.opened == 1)  # the connection was up, and nothing was written on it
+        self.assertEqual(worker.received, b"")
 
     def test_a_worker_that_starts_anew_while_its_connection_comes_up_is_decided_on_anew(self) -> None:
         node, discovery, worker = self.late()
@@ -71,7 +72,8 @@
         worker.open()
         # cold: the budget of a second is less than this job
         self.assertEqual(answer.get()[0], 503)
-        self.assertEqual((worker.opened, worker.received), (1, b""))
+        eventually(lambda: worker.opened == 1)  # the connection was up, and nothing was written on it
+        self.assertEqual(worker.received, b"")
 
     def test_a_client_that_leaves_while_the_connection_comes_up_gets_no_attempt(self) -> None:
         node, _, worker = self.late(limits={**SETTINGS["limits"], "cancel": False})
