--- a/tests/test_bad_lists.py
+++ b/tests/test_bad_lists.py
@@ -9,8 +9,8 @@
 import time
 from typing import Any
 
+from tests.acts import serve
 from tests.node import SETTINGS, WAIT, Discovery, Node, NodeTest, Server, Worker, ask, eventually
-from tests.test_node import serve
 
 # a watch that a busy machine holds up is not taken for a silent one
 PATIENT = {"watch_silent_ms": 60_000, "watch_retry_ms": 10, "news_told_ms": 60_000}
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -10,10 +10,10 @@
 import time
 from collections import Counter
 
+from tests.acts import keep, post, serve
 from tests.late_worker import read_answers
 from tests.node import Node, NodeTest, Server, Worker, eventually
 from tests.test_moments import EFFECTS
-from tests.test_write_checks import keep, post, serve
 
 GONE_S = 0.1  # after a close nothing may begin (STANDING)
 SLACK_S = 0.05  # of this process's own clock at the two ends
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -9,8 +9,8 @@
 from pebbledrift.discovery.incarnations import Incarnations
 from spoolpier import Dispatcher
 from spoolpier import interface as api
+from tests.acts import serve
 from tests.node import NodeTest, Worker, eventually
-from tests.test_write_checks import serve
 
 HOUR = 3_600_000.0
 COLD = api.Settings(
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -14,9 +14,9 @@
 from typing import Any
 
 from pebbledrift.cores.core import SHOW_S
+from tests.acts import keep, serve
 from tests.node import SETTINGS, WAIT, Discovery, Node, NodeTest, Server, Worker, ask, eventually
 from tests.test_beanstalk import BEANSTALK_SETTINGS, HOSTS, TUBES, Client
-from tests.test_node import keep, serve
 
 QUICK = {"core_deaths": 1000, "core_again_most_ms": 100.0}  # a test kills more often than a life does
 
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -5,8 +5,8 @@
 import threading
 import time
 
+from tests.acts import serve
 from tests.node import SETTINGS, NodeTest, Server, Worker, ask
-from tests.test_node import serve
 
 LATE_S = 0.5  # after its time a request only earns nothing; later it counts as lost (STANDING)
 MALFORMED = (
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -13,14 +13,10 @@
 from typing import Any, ClassVar
 
 from pebbledrift.discovery.reliance import PushedReliance, Reliance
+from tests.acts import serve
 from tests.node import SETTINGS, WAIT, Discovery, Node, NodeTest, Server, Worker, ask, eventually
 
 
-def serve(worker: Worker, request: Server, job: str) -> None:
-    request.reply(202)
-    worker.call(job, "done", result="yes")
-
-
 class RelianceTest(unittest.TestCase):
     """The list was last heard at 1,000 ms, news count as told after 6 s, a node has to ask in 10 s."""
 
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -24,10 +24,10 @@
 from pebbledrift.store.replica import ASKED, TOLD, pack, pack_digest, unpack
 from pebbledrift.store.table import Entry, Table, Version
 from rig.world import Rig
+from tests.acts import serve
 from tests.node import SETTINGS, WAIT, Discovery, Node, NodeTest, Worker, ask, eventually
 from tests.test_beanstalk import BEANSTALK_SETTINGS, TUBES, Client
 from tests.test_fleet_faults import FleetTest, until
-from tests.test_node import serve
 
 LIMITS = Limits()
 # writes one entry after the other, and says so once each call has returned
--- a/tests/test_disk_faults.py
+++ b/tests/test_disk_faults.py
@@ -11,10 +11,10 @@
 
 from pebbledrift.store.replica import DIGEST, pack
 from pebbledrift.store.table import Entry, Version
+from tests.acts import serve
 from tests.disk_faults import FaultyDisk
 from tests.node import SETTINGS, WAIT, Discovery, Node, NodeTest, Worker, ask, eventually
 from tests.test_beanstalk import BEANSTALK_SETTINGS, HOSTS, TUBES, Client
-from tests.test_node import serve
 
 # full, broken, and half a write: each as the kernel says it
 FAILURES = ("write ENOSPC", "write EIO", "write short")
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -13,9 +13,9 @@
 from pebbledrift.net.front import FrontServer
 from pebbledrift.net.http import Message
 from pebbledrift.net.link import Fields
+from tests.acts import keep, post
 from tests.late_worker import read_answers
 from tests.node import WAIT, NodeTest, Server, Worker, ask, eventually
-from tests.test_write_checks import keep, post
 
 LARGE = "x" * 60_000
 
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -8,9 +8,9 @@
 import time
 from typing import Any
 
+from tests.acts import keep, serve
 from tests.node import SETTINGS, WAIT, Discovery, Server, Worker, ask, eventually
 from tests.test_system_calls import BREAKS, FaultyTest, port
-from tests.test_write_checks import keep, serve
 
 REPEATABLE = {
     "name": "consulta",
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,23 +7,14 @@
 import threading
 import time
 
+from tests.acts import keep, serve
 from tests.node import SETTINGS, WAIT, Discovery, Node, NodeTest, Server, Worker, ask, eventually
 
 
-def serve(worker: Worker, request: Server, job: str) -> None:
-    request.reply(202)
-    worker.call(job, "started")
-    worker.call(job, "done", result=f"ran {job}")
-
-
 def drop(worker: Worker, request: Server, job: str) -> None:
     request.drop()
 
 
-def keep(worker: Worker, request: Server, job: str) -> None:
-    request.reply(202)
-
-
 class PlatformTest(NodeTest):
     def test_a_job_is_served_with_what_the_worker_made(self) -> None:
         worker = Worker("s-1", serve)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from pebbledrift.net.link import MeetingPlace
+from tests.acts import keep, serve
 from tests.node import SETTINGS, WAIT, Discovery, Node, NodeTest, Worker, ask, eventually
-from tests.test_node import keep, serve
 
 
 class AdminTest(NodeTest):
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -7,8 +7,8 @@
 from pathlib import Path
 from typing import Any
 
+from tests.acts import keep, serve
 from tests.node import WAIT, Discovery, Node, NodeTest, Server, Worker, eventually
-from tests.test_write_checks import keep, serve
 
 FAULTS = str(Path(__file__).parent / "faults")
 ACCEPT_ERRORS = ("ECONNABORTED", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EPROTO", "EINTR")
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -8,8 +8,8 @@
 import time
 from typing import Any
 
+from tests.acts import serve
 from tests.node import SETTINGS, Discovery, Node, NodeTest, Worker, ask, eventually
-from tests.test_node import serve
 
 GRACE_S = 0.6  # that a drain leaves a node before it is a break (rules.drain_grace_ms)
 ASK_S = 1.0  # rules.must_ask_in_ms
--- a/tests/test_write_checks.py
+++ b/tests/test_write_checks.py
@@ -8,27 +8,13 @@
 import time
 from typing import Any
 
+from tests.acts import keep, post
 from tests.late_worker import LateWorker, connecting, read_answers
 from tests.node import SETTINGS, WAIT, Discovery, Node, NodeTest, Server, Worker, ask, eventually
 
 LATE = {"connect_ms": 10_000, "accept_ms": 10_000, "accept_again_ms": 10_000}  # what further SYNs take
 
 
-def serve(worker: Worker, request: Server, job: str) -> None:
-    request.reply(202)
-    worker.call(job, "done", result="yes")
-
-
-def keep(worker: Worker, request: Server, job: str) -> None:
-    request.reply(202)
-
-
-def post(job: str, name: str = "pesagem", budget: float = 5.0, more: str = "") -> bytes:
-    """One request as a client writes it."""
-    head = f"POST /{name}?sid=ff HTTP/1.1\r\nHost: a\r\nX-Call-Id: {job}\r\nX-Budget: {budget}\r\n"
-    return f"{head}Idempotency-Key: {job}\r\n{more}Content-Length: 4\r\n\r\nload".encode()
-
-
 class WriteTest(NodeTest):
     """One job waits for a connection that comes up late."""
 
