Test: a step of the wall clock neither ends a back-off nor lengthens it

Checked with two refused connects in a row (the worker is left alone for some seconds) and a step by an hour either way: still left alone at once after, served again within ten seconds. Found: no fault. Change: tests/test_system_calls.py.

--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -136,3 +136,17 @@
             eventually(lambda log=node.log: any("state=draining" in line for line in log))  # type: ignore[misc]
             self.assertEqual([node.job(f"a{i}", sid=f"{i:x}")[0] for i in range(8)], [200] * 8)
             self.assertEqual(first.taken, set())
+
+    def test_a_step_neither_ends_a_back_off_nor_lengthens_it(self) -> None:
+        for step in (-3600.0, 3600.0):
+            worker = Worker("s-1", serve)
+            plan = [{"call": "connect", "port": port(worker), "times": 2, "errno": "ECONNREFUSED"}]
+            node, _, wall = self.faulty(plan, worker, step=True)
+            self.assertEqual([node.job(f"a{i}", budget=0.4)[0] for i in range(2)], [503, 503])
+            wall.write_text(str(step))
+            # after two failures in a row it is left alone for some seconds
+            self.assertEqual(node.job("soon", budget=0.4)[0], 503, step)
+            began = time.monotonic()
+            eventually(lambda node=node: node.job(f"b{time.monotonic()}", budget=0.4)[0] == 200)  # type: ignore[misc]
+            self.assertLess(time.monotonic() - began, 10.0)
+            node.kill()
