Test: a reserve waits before the job comes, in two tests of a disk that fails

Checked by a trace, two of eighteen jobs: the put is aimed at once at the worker that reserved just before, which does not yet reserve again; it is turned away there, counts as tried, and no other worker takes jobs. Ruled out: the disk, and the drain that is tested. Change: the worker sends its reserve before the put, as Client.reserve(sent=True) is for; the test expects the same.

--- a/tests/test_disk_faults.py
+++ b/tests/test_disk_faults.py
@@ -71,8 +71,9 @@
             self.assertEqual(producer.ask("put 0 1 60 2\r\n{}"), "OUT_OF_MEMORY", failure)
             self.assertEqual(worker.ask("reserve-with-timeout 1"), "TIMED_OUT")
             self.recover(node)
+            worker.send("reserve-with-timeout 15")
             number = producer.put("pesagem.acme")
-            self.assertEqual(worker.reserve()[0], number)
+            self.assertEqual(worker.reserve(sent=True)[0], number)
             # once each, however many writes failed
             self.assertEqual((self.said(node, FAILED), self.said(node, WELL)), (1, 1))
             node.kill()
@@ -231,8 +232,9 @@
             first, second = self.client(node, "w1"), self.client(node, "w2")
             first.send("reserve-with-timeout 2")
             for _ in range(3):
+                second.send("reserve-with-timeout 15")  # it waits already as the job comes
                 number = self.client(node).put("fechamento.acme")
-                self.assertEqual(second.reserve()[0], number)
+                self.assertEqual(second.reserve(sent=True)[0], number)
                 second.ask(f"delete {number}")
             self.assertEqual(first.line(), "TIMED_OUT", failure)
             node.kill()
