--- a/pebbledrift/__main__.py
+++ b/pebbledrift/__main__.py
@@ -16,6 +16,8 @@
 
 log = logging.getLogger("pebbledrift")
 
+ROLES = ("router", "keeper")
+
 
 async def serve(config: Config, read_again: ReadAgain, path: str | None) -> int:
     """Run the node until it has ended; returns the exit code. `path` is the configuration's, where given."""
@@ -30,6 +32,10 @@
 
 def main() -> int:
     """Read the configuration and serve."""
+    if len(sys.argv) > 1 and sys.argv[1] in ROLES:
+        from pebbledrift.cluster import roles  # the fleet's processes; a node alone does without
+
+        return roles.run(sys.argv[1])
     parser = argparse.ArgumentParser(prog="pebbledrift", description="A dispatcher node.")
     parser.add_argument("--config", help="configuration file (TOML or JSON); else $GW_CONFIG names it")
     parser.add_argument("--tables", help="tables that all nodes of the fleet have alike (TOML or JSON)")
--- /dev/null
+++ b/pebbledrift/chain/link.py
@@ -0,0 +1,250 @@
+"""One replica's place in the chain: entries come from the predecessor, are synced, and go to the successor."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from pebbledrift.chain.agreement import Agreement
+from pebbledrift.chain.log import ReplicatedLog
+from pebbledrift.chain.messages import (
+    Append,
+    Barrier,
+    ChainState,
+    Committed,
+    Entry,
+    JoinChain,
+    Stamp,
+    Truncate,
+)
+from pebbledrift.chain.outbox import Outbox
+from pebbledrift.chain.view import address_of
+from pebbledrift.control.orders import Judgement, Order
+
+JOIN_AGAIN_S = 0.05
+POLL_S = 0.3  # a member that has joined asks so often whether anything got lost on the way to it
+
+
+class ChainLink:
+    """Receives, syncs and passes on the entries of one epoch; the tail commits them."""
+
+    def __init__(
+        self,
+        agreement: Agreement,
+        log: ReplicatedLog,
+        outbox: Outbox,
+        committed: Callable[[list[Entry]], None],
+        announce: Callable[[Committed], None],
+        answer_barrier: Callable[[Barrier], None],
+    ) -> None:
+        self.agreement, self.log, self.outbox = agreement, log, outbox
+        self._committed, self._announce, self._answer_barrier = committed, announce, answer_barrier
+        self.position: int | None = None
+        self.joined = False  # we have all that the predecessor had synced
+        self._synced = 0
+        self._forwarded: int | None = None  # None: the successor has not joined yet
+        self._barriers: list[Barrier] = []  # at the tail: wait for entries before them
+        self._ask_at = 0.0
+
+    @property
+    def epoch(self) -> int:
+        """The epoch of the view in force; 0 without one."""
+        return 0 if self.agreement.view is None else self.agreement.view.epoch
+
+    @property
+    def active(self) -> bool:
+        """Whether we take part in the chain of the present view."""
+        return self.joined and not self.agreement.sealed
+
+    @property
+    def is_head(self) -> bool:
+        """Whether orders are taken here."""
+        return self.active and self.position == 0
+
+    @property
+    def is_tail(self) -> bool:
+        """Whether replies are given here."""
+        view = self.agreement.view
+        return self.active and view is not None and self.position == len(view.chain) - 1
+
+    def _neighbour(self, step: int) -> str | None:
+        """The node before (-1) or behind (1) us in the chain."""
+        view = self.agreement.view
+        if view is None or self.position is None or not 0 <= self.position + step < len(view.chain):
+            return None
+        return view.chain[self.position + step].node
+
+    def enter(self) -> None:
+        """A new view is in force: take our place in its chain."""
+        view = self.agreement.view
+        assert view is not None
+        self.position = view.position(self.agreement.node, self.agreement.incarnation)
+        self.joined = False
+        self._synced = self.log.committed.sequence
+        self._forwarded = None
+        self._barriers = []
+        self._ask_at = 0.0
+        if self.position == 0:
+            self.joined = True
+            self.append(None)
+
+    def append(self, order: Order | None) -> Entry:
+        """At the head: add an entry."""
+        entry = Entry(self.epoch, self.log.last.sequence + 1, order)
+        self.log.append(entry)
+        self._sync((entry,))
+        return entry
+
+    def _sync(self, entries: tuple[Entry, ...]) -> None:
+        epoch, sequence = self.epoch, self.log.last.sequence
+        self.outbox.persist(*entries, then=lambda: self._on_synced(epoch, sequence))
+
+    def _on_synced(self, epoch: int, sequence: int) -> None:
+        if epoch != self.epoch or not self.active:
+            return
+        self._synced = max(self._synced, sequence)
+        if self.is_tail:
+            self._commit_at_tail()
+        else:
+            self._forward()
+
+    def _forward(self) -> None:
+        successor = self._neighbour(1)
+        if successor is None or self._forwarded is None or self._forwarded >= self._synced:
+            return
+        entries = self.log.after(self._forwarded, self._synced)
+        self._forwarded = self._synced
+        self.outbox.send(address_of(successor), Append(self.epoch, entries))
+
+    def _commit_at_tail(self) -> None:
+        fresh = self.log.commit(self._synced)
+        if fresh:
+            self._announce(Committed(self.epoch, self.log.committed))
+            self._committed(fresh)
+        waiting, self._barriers = self._barriers, []
+        for barrier in waiting:
+            self._end_barrier(barrier)
+
+    # joining
+
+    def tick(self, now: float) -> None:
+        """Ask the predecessor until it has told what we lack, and now and then whether something was lost."""
+        predecessor = self._neighbour(-1)
+        if predecessor is None or self.agreement.sealed or now < self._ask_at:
+            return
+        self._ask_at = now + (POLL_S if self.joined else JOIN_AGAIN_S)
+        ask = JoinChain(self.epoch, self.agreement.node, self.joined, self.log.last, self.log.committed)
+        self.outbox.send(address_of(predecessor), ask)
+
+    def on_join(self, message: JoinChain) -> None:
+        """The successor asks for what it lacks; entries that we have not synced ourselves follow later."""
+        if message.epoch != self.epoch or not self.active or message.node != self._neighbour(1):
+            return
+        last, committed = Stamp(*message.last), Stamp(*message.committed)
+        if message.joined and self.log.holds(last):
+            self._send_again(message.node, last)
+            return
+        common = next((s for s in (last, committed) if s.sequence <= self._synced and self.log.holds(s)), None)
+        snapshot = None
+        if common is None:
+            snapshot = self.log.snapshot()
+            common = self.log.committed
+        entries = self.log.after(common.sequence, self._synced)
+        self._forwarded = max(self._synced, common.sequence)
+        self.outbox.send(address_of(message.node), ChainState(self.epoch, common, snapshot, entries))
+
+    def _send_again(self, successor: str, last: Stamp) -> None:
+        entries = self.log.after(last.sequence, self._synced)
+        if entries:
+            self.outbox.send(address_of(successor), Append(self.epoch, entries))
+
+    def on_chain_state(self, message: ChainState) -> None:
+        """The predecessor's log takes the place of whatever we had beyond what is common."""
+        if message.epoch != self.epoch or self.joined or self.position is None or self.agreement.sealed:
+            return
+        after = Stamp(*message.after)
+        if message.snapshot is not None:
+            if after.sequence < self.log.committed.sequence or self.log.last.epoch == self.epoch:
+                return
+            self.log.restore(message.snapshot, message.entries)
+            self.outbox.persist(message.snapshot)
+            self._committed([])
+        else:
+            if not self.log.holds(after):
+                return
+            self._take_over(after, message.entries)
+            return
+        self.joined = True
+        self._sync(message.entries)
+
+    def _take_over(self, after: Stamp, entries: tuple[Entry, ...]) -> None:
+        """Go on behind `after` with these entries in the place of ours.
+
+        Entries of this epoch came from the predecessor as well: an answer that was long under way may lack
+        them, and they are counted on.
+        """
+        missing = tuple(entry for entry in entries if not self.log.holds(entry.stamp))
+        keep = missing[0].sequence - 1 if missing else (entries[-1].sequence if entries else after.sequence)
+        if self.log.last.sequence > keep and self.log.last.epoch < self.epoch:
+            self.log.truncate(keep)
+            self.outbox.persist(Truncate(keep))
+        if missing and missing[0].sequence != self.log.last.sequence + 1:
+            return
+        for entry in missing:
+            self.log.append(entry)
+        self.joined = True
+        self._sync(missing)
+
+    def on_append(self, message: Append) -> None:
+        """Entries from the predecessor; after a gap we ask again for what is missing."""
+        if message.epoch != self.epoch or not self.active or not message.entries:
+            return
+        fresh = tuple(e for e in message.entries if e.sequence > self.log.last.sequence)
+        if not fresh:
+            return
+        if fresh[0].sequence != self.log.last.sequence + 1:
+            self.joined = False
+            self._ask_at = 0.0
+            return
+        for entry in fresh:
+            self.log.append(entry)
+        self._sync(fresh)
+
+    def on_committed(self, message: Committed) -> bool:
+        """The tail has committed; returns whether we have the entries that this is about."""
+        stamp = Stamp(*message.stamp)
+        if stamp.sequence <= self.log.committed.sequence:
+            return True
+        if message.epoch != self.epoch or not self.active or not self.log.holds(stamp):
+            return False
+        self._committed(self.log.commit(stamp.sequence))
+        return True
+
+    def rejoin(self, node: str) -> None:
+        """The way to another replica broke: messages may be lost that were on it."""
+        if node == self._neighbour(-1):
+            self.joined = False
+            self._ask_at = 0.0
+
+    # barriers
+
+    def start_barrier(self, request: int, origin: str, judgement: Judgement | None) -> None:
+        """At the head: let a verdict or a read run down the chain, behind all entries so far."""
+        self.on_barrier(Barrier(self.epoch, self.log.last.sequence, request, origin, judgement))
+
+    def on_barrier(self, barrier: Barrier) -> None:
+        """Pass a barrier on, or answer it at the tail; who has left the epoch does neither."""
+        if barrier.epoch != self.epoch or not self.active:
+            return
+        if self.is_tail:
+            self._end_barrier(barrier)
+            return
+        successor = self._neighbour(1)
+        if successor is not None:
+            self.outbox.send(address_of(successor), barrier)
+
+    def _end_barrier(self, barrier: Barrier) -> None:
+        if self.log.committed.sequence >= barrier.after:
+            self._answer_barrier(barrier)
+        else:
+            self._barriers.append(barrier)
+            del self._barriers[:-256]
--- /dev/null
+++ b/pebbledrift/chain/peers.py
@@ -0,0 +1,73 @@
+"""The keepers that were heard of lately, and what each last told about itself."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from pebbledrift.chain.messages import Heartbeat
+
+ALIVE_S = 0.8  # a keeper that was not heard for so long is taken to be down
+FORGET_S = 30.0
+KNOWN_MOST = 64
+
+
+@dataclass(slots=True)
+class Peer:
+    """The last heartbeat of one replica."""
+
+    heartbeat: Heartbeat
+    heard: float
+    alive_since: float
+
+
+class PeerTable:
+    """Replicas by node, and all addresses at which keepers were told to be."""
+
+    def __init__(self, own_address: str, addresses: Iterable[str]) -> None:
+        self.own_address = own_address
+        self.peers: dict[str, Peer] = {}
+        self.addresses: dict[str, float] = {a: 0.0 for a in addresses if a != own_address}
+
+    def heard(self, address: str, heartbeat: Heartbeat, now: float) -> None:
+        """Take in a heartbeat."""
+        known = self.peers.get(heartbeat.node)
+        restarted = known is None or known.heartbeat.incarnation != heartbeat.incarnation
+        if known is None or restarted or now - known.heard > ALIVE_S:
+            self.peers[heartbeat.node] = Peer(heartbeat, now, now)
+        else:
+            known.heartbeat, known.heard = heartbeat, now
+        for told in (address, *heartbeat.keepers):
+            self.learn(told, now if told == address else 0.0)
+
+    def learn(self, address: str, now: float = 0.0) -> None:
+        """Remember an address at which there may be a keeper."""
+        if address != self.own_address and (address in self.addresses or len(self.addresses) < KNOWN_MOST):
+            self.addresses[address] = max(now, self.addresses.get(address, 0.0))
+
+    def alive(self, node: str, now: float) -> Peer | None:
+        """The replica, if it was heard lately."""
+        peer = self.peers.get(node)
+        return peer if peer is not None and now - peer.heard <= ALIVE_S else None
+
+    def living(self, now: float) -> list[Peer]:
+        """All replicas that were heard lately."""
+        return [peer for peer in self.peers.values() if now - peer.heard <= ALIVE_S]
+
+    def living_addresses(self, now: float) -> list[str]:
+        """The addresses of the keepers that were heard lately."""
+        return [a for a, heard in self.addresses.items() if heard and now - heard <= ALIVE_S]
+
+    def silent_for(self, node: str, now: float, since: float) -> float:
+        """For how long a replica has not been heard; `since` counts for one that never was."""
+        peer = self.peers.get(node)
+        return now - max(since, peer.heard if peer is not None else since)
+
+    def forget(self, now: float, keep: Iterable[str]) -> None:
+        """Drop replicas and addresses that have been silent for long."""
+        kept = set(keep)
+        for node in [n for n, p in self.peers.items() if now - p.heard > FORGET_S and n not in kept]:
+            del self.peers[node]
+        old = [a for a, heard in self.addresses.items() if heard and now - heard > FORGET_S and a not in kept]
+        for address in old:
+            del self.addresses[address]
--- /dev/null
+++ b/pebbledrift/chain/planning.py
@@ -0,0 +1,149 @@
+"""Which view the coordinator wants next, from the view in force and who is alive."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from pebbledrift.chain.messages import Stamp
+from pebbledrift.chain.peers import PeerTable
+from pebbledrift.chain.view import ChainMember, View, address_of
+
+REPLACE_AFTER_S = 2.0  # a member silent for so long gives its place to a new replica that waits for one
+SHRINK_AFTER_S = 4.0  # and one silent for so long goes where more members are left than are needed
+MEMBERS_MOST = 9
+SETTLE_S = 0.3  # a replica that came back has to be heard for so long before the chain is changed for it
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What the next view should be."""
+
+    members: tuple[str, ...]
+    previous: tuple[str, ...]
+    chain: tuple[ChainMember, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Situation:
+    """What a plan is made from."""
+
+    view: View
+    established: bool  # the whole chain has all that was agreed before
+    peers: PeerTable  # we are in it ourselves
+    now: float
+    since: float  # when we began to listen
+    tolerated: int
+
+
+def coordinator(situation: Situation) -> str | None:
+    """The first live member in the agreed order: it acts for all."""
+    for node in situation.view.members:
+        if situation.peers.alive(node, situation.now):
+            return node
+    return None
+
+
+def _departed(situation: Situation, node: str, after: float) -> bool:
+    peer = situation.peers.alive(node, situation.now)
+    if peer is not None:
+        return peer.heartbeat.leaving
+    return situation.peers.silent_for(node, situation.now, situation.since) > after
+
+
+def _joiners(situation: Situation) -> list[str]:
+    """Replicas that wait for a place, longest heard first."""
+    found = [
+        peer
+        for peer in situation.peers.living(situation.now)
+        if peer.heartbeat.eligible
+        and peer.heartbeat.healthy
+        and not peer.heartbeat.leaving
+        and peer.heartbeat.node not in situation.view.members
+        and situation.now - peer.alive_since >= SETTLE_S
+    ]
+    return [peer.heartbeat.node for peer in sorted(found, key=lambda p: (p.alive_since, p.heartbeat.node))]
+
+
+def _zone(situation: Situation, node: str) -> str:
+    peer = situation.peers.peers.get(node)
+    return peer.heartbeat.zone if peer is not None else ""
+
+
+def _replaced_by(situation: Situation, joiner: str) -> str | None:
+    """The member whose place a new replica takes; none where it comes on top."""
+    members = situation.view.members
+    for node in members:
+        if address_of(node) == address_of(joiner):
+            return node
+    silent = [node for node in members if _departed(situation, node, REPLACE_AFTER_S)]
+    zone = _zone(situation, joiner)
+    return min(silent, key=lambda node: _zone(situation, node) != zone, default=None)
+
+
+def _next_members(situation: Situation) -> tuple[str, ...]:
+    """The members as they should be: one change at a time, and none before the last one is complete."""
+    members = situation.view.members
+    if situation.view.previous or not situation.established:
+        return members
+    for joiner in _joiners(situation):
+        replaced = _replaced_by(situation, joiner)
+        if replaced is not None:
+            return tuple(joiner if node == replaced else node for node in members)
+        if len(members) < MEMBERS_MOST:
+            return (*members, joiner)
+    if len(members) > 2 * situation.tolerated + 1:
+        for node in members:
+            if _departed(situation, node, SHRINK_AFTER_S):
+                return tuple(member for member in members if member != node)
+    return members
+
+
+def _chain(situation: Situation, voters: list[str]) -> tuple[ChainMember, ...]:
+    """Voters that can take part, in the order of the present chain, others behind them."""
+    present = situation.view.chain_nodes
+    ranked = sorted(voters, key=lambda node: present.index(node) if node in present else len(present))
+    found = []
+    for node in ranked:
+        peer = situation.peers.alive(node, situation.now)
+        if peer is None or not peer.heartbeat.healthy or peer.heartbeat.leaving:
+            continue
+        settled = situation.now - peer.alive_since >= SETTLE_S
+        if node in present or settled or not present:
+            found.append(ChainMember(node, peer.heartbeat.incarnation))
+    return tuple(found)
+
+
+def plan(situation: Situation) -> Plan | None:
+    """The view that is wanted, or None where the present one will do or none can be agreed on."""
+    view = situation.view
+    members = _next_members(situation)
+    previous: tuple[str, ...] = ()
+    if members != view.members:
+        previous = view.members
+    elif view.previous and not situation.established:
+        previous = view.previous
+    chain = _chain(situation, list(dict.fromkeys([*members, *previous])))
+    wanted = View(view.epoch + 1, members, previous, chain)
+    if not wanted.is_quorum(wanted.chain_nodes):
+        return None
+    same = (wanted.members, wanted.previous, set(wanted.chain)) == (
+        view.members,
+        view.previous,
+        set(view.chain),
+    )
+    return None if same else Plan(members, previous, chain)
+
+
+def first_by_stamp(chain: tuple[ChainMember, ...], stamps: dict[str, tuple[Stamp, int]]) -> tuple[ChainMember, ...]:
+    """The chain with the replica in front that has the newest log of all that promised.
+
+    It is the head even where it was not wanted: nobody else is sure to have all that was acknowledged.
+    """
+    newest = max(stamp for stamp, _ in stamps.values())
+    holders = [member for member in chain if member.node in stamps and stamps[member.node][0] == newest]
+    if holders:
+        head = holders[0]
+    else:
+        node = next(node for node, (stamp, _) in stamps.items() if stamp == newest)
+        head = ChainMember(node, stamps[node][1])
+    return (head, *(member for member in chain if member.node != head.node))
--- /dev/null
+++ b/pebbledrift/chain/requests.py
@@ -0,0 +1,128 @@
+"""Calls of the operator at one keeper: handed to the head, sent again until there is an answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from pebbledrift.chain.agreement import Agreement
+from pebbledrift.chain.link import ChainLink
+from pebbledrift.chain.log import ReplicatedLog
+from pebbledrift.chain.messages import Answer, Barrier, NotHead, Submit
+from pebbledrift.chain.outbox import Outbox
+from pebbledrift.chain.view import address_of
+from pebbledrift.control.orders import ConfigurationState, Judgement, Order, Verdict
+
+AGAIN_S = 0.4  # a call without an answer is handed to the head again
+PENDING_MOST = 256
+Done = Callable[[Judgement | None], None]
+
+
+@dataclass(slots=True)
+class PendingCall:
+    """A call that waits for its answer."""
+
+    number: int
+    order: Order | None  # None: a read
+    done: Done
+    deadline: float
+    send_at: float
+    read_at: int | None = None  # the sequence that our own state has to reach
+
+
+class RequestDesk:
+    """The calls made at this keeper, and the judging of all calls where this keeper is the head."""
+
+    def __init__(self, agreement: Agreement, link: ChainLink, log: ReplicatedLog, outbox: Outbox) -> None:
+        self.agreement, self.link, self.log, self.outbox = agreement, link, log, outbox
+        self._pending: dict[int, PendingCall] = {}
+        self._number = 0
+        self._state: ConfigurationState | None = None  # with all entries; at the head only
+
+    # where the call was made
+
+    def call(self, order: Order | None, now: float, longest: float, done: Done) -> None:
+        """Make a call. `done` gets the judgement, or None where there is no clear answer in time."""
+        if len(self._pending) >= PENDING_MOST:
+            done(None)
+            return
+        self._number += 1
+        call = PendingCall(self._number, order, done, now + longest, now)
+        self._pending[call.number] = call
+        self._send(call, now)
+
+    def _send(self, call: PendingCall, now: float) -> None:
+        view = self.agreement.view
+        if view is None or not view.chain:
+            return
+        call.send_at = now + AGAIN_S
+        head = address_of(view.chain[0].node)
+        self.outbox.send(head, Submit(call.number, self.outbox.address, call.order))
+
+    def _finish(self, call: PendingCall, judgement: Judgement | None) -> None:
+        if self._pending.pop(call.number, None) is not None:
+            call.done(judgement)
+
+    def tick(self, now: float) -> None:
+        """Send again what has no answer, and give up what has had its time."""
+        for call in list(self._pending.values()):
+            if now >= call.deadline:
+                self._finish(call, None)
+            elif now >= call.send_at:
+                self._send(call, now)
+
+    def on_answer(self, message: Answer) -> None:
+        """The tail has answered for a call of ours."""
+        call = self._pending.get(message.request)
+        if call is None:
+            return
+        if call.order is None:
+            call.read_at = message.committed[1]
+            self.on_commit()
+        elif message.judgement is not None:
+            self._finish(call, message.judgement)
+
+    def on_not_head(self, message: NotHead, now: float) -> None:
+        """Somebody else is the head."""
+        self.agreement.learn(message.view)
+        call = self._pending.get(message.request)
+        if call is not None:
+            call.send_at = min(call.send_at, now + AGAIN_S / 8)
+
+    def on_commit(self) -> None:
+        """Our own state has moved on: calls that it answers are at their end."""
+        for call in list(self._pending.values()):
+            if call.order is not None and call.order.digest in self.log.state.taken:
+                self._finish(call, Judgement(Verdict.TAKEN))
+            elif call.read_at is not None and self.log.committed.sequence >= call.read_at:
+                self._finish(call, Judgement(Verdict.TAKEN))
+
+    # at the head
+
+    def enter(self) -> None:
+        """A new view is in force: what was judged in the one before counts only where it is in the log."""
+        self._state = None
+
+    def on_submit(self, sender: str, message: Submit) -> None:
+        """Judge a call at the newest state."""
+        if not self.link.is_head:
+            if self.agreement.view is not None:
+                self.outbox.send(sender, NotHead(message.request, self.agreement.view))
+            return
+        if message.order is None:
+            self.link.start_barrier(message.request, message.origin, None)
+            return
+        if self._state is None:
+            self._state = self.log.speculative()
+        judgement = self._state.apply(message.order)
+        if judgement.verdict == Verdict.TAKEN:
+            self.link.append(message.order)
+        else:
+            self.link.start_barrier(message.request, message.origin, judgement)
+
+    # at the tail
+
+    def answer_barrier(self, barrier: Barrier) -> None:
+        """All before the barrier is committed, and the epoch it was judged in goes on."""
+        answer = Answer(barrier.request, barrier.judgement, self.log.committed)
+        self.outbox.send(barrier.origin, answer)
--- /dev/null
+++ b/pebbledrift/cluster/codec.py
@@ -0,0 +1,105 @@
+"""Typed messages as CBOR: a message class is registered once with its number, fields travel in order.
+
+A message may hold other registered classes, numbers, texts, bytes, lists, tuples and maps of these.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass, fields
+from typing import Any, TypeVar
+
+import cbor2
+
+from pebbledrift.cluster.errors import MessageError
+
+FIRST_TAG = 40_000  # of the range that is free for private use
+LENGTH = struct.Struct(">I")
+FRAME_MOST = 12 * 1024 * 1024
+
+Class = TypeVar("Class", bound=type)
+_by_tag: dict[int, type] = {}
+_tag_of: dict[type, int] = {}
+_names_of: dict[type, tuple[str, ...]] = {}
+
+
+def message(number: int) -> Callable[[Class], Class]:
+    """Register a class as message `number`, and make it a frozen data class."""
+
+    def register(given: Class) -> Class:
+        made = dataclass(frozen=True, slots=True)(given)
+        tag = FIRST_TAG + number
+        if tag in _by_tag:
+            raise RuntimeError(f"message {number} is registered twice")
+        _by_tag[tag] = made
+        _tag_of[made] = tag
+        _names_of[made] = tuple(f.name for f in fields(made))
+        return made
+
+    return register
+
+
+def _default(encoder: cbor2.CBOREncoder, value: Any) -> None:
+    tag = _tag_of.get(type(value))
+    if tag is None:
+        raise MessageError(f"no message: {type(value).__name__}")
+    names = _names_of[type(value)]
+    encoder.encode(cbor2.CBORTag(tag, [getattr(value, name) for name in names]))
+
+
+def _restore(tag: cbor2.CBORTag, immutable: bool = False) -> Any:
+    made = _by_tag.get(tag.tag)
+    if made is None:
+        raise MessageError(f"unknown message: {tag.tag}")
+    if not isinstance(tag.value, list | tuple) or len(tag.value) != len(_names_of[made]):
+        raise MessageError(f"malformed message: {made.__name__}")
+    return made(*tag.value)
+
+
+def encode(value: Any) -> bytes:
+    """A message as bytes."""
+    return cbor2.dumps(value, default=_default)
+
+
+def decode(data: bytes | bytearray | memoryview) -> Any:
+    """A message from its bytes; raises MessageError on anything else."""
+    try:
+        value = cbor2.loads(bytes(data), tag_hook=_restore)
+    except MessageError:
+        raise
+    except Exception as error:
+        raise MessageError(f"not decodable: {error}") from error
+    if type(value) not in _tag_of:
+        raise MessageError("not a message")
+    return value
+
+
+def frame(value: Any) -> bytes:
+    """A message behind its length."""
+    body = encode(value)
+    if len(body) > FRAME_MOST:
+        raise MessageError(f"message of {len(body)} bytes")
+    return LENGTH.pack(len(body)) + body
+
+
+class FrameReader:
+    """Cuts a stream of bytes into messages."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[Any]:
+        """All messages that are complete with these bytes; raises MessageError."""
+        self._buffer += data
+        found = []
+        while len(self._buffer) >= LENGTH.size:
+            (size,) = LENGTH.unpack_from(self._buffer)
+            if size > FRAME_MOST:
+                raise MessageError(f"frame of {size} bytes")
+            end = LENGTH.size + size
+            if len(self._buffer) < end:
+                break
+            found.append(decode(self._buffer[LENGTH.size : end]))
+            del self._buffer[:end]
+        return found
--- /dev/null
+++ b/pebbledrift/cluster/fleet_messages.py
@@ -0,0 +1,97 @@
+"""What keepers and routers tell each other, and keepers each other about workers."""
+
+from __future__ import annotations
+
+from pebbledrift.chain.messages import Entry, Snapshot
+from pebbledrift.cluster.codec import message
+from pebbledrift.control.registry import Instance
+
+ROLE_KEEPER = "keeper"
+ROLE_ROUTER = "router"
+
+
+@message(100)
+class KeeperState:
+    """A keeper's standing, told to the routers now and then and when it changes."""
+
+    epoch: int
+    head: str  # address of the head of the chain
+    current: bool  # what it holds is as new as any configuration in force
+    committed: tuple[int, int]
+    complete: bool  # it has heard of all workers that report anywhere
+    keepers: tuple[str, ...]
+    routers: int  # routers that it hears
+
+
+@message(101)
+class InstanceNews:
+    """Instances that are new or have changed."""
+
+    instances: tuple[Instance, ...]
+
+
+@message(102)
+class InstanceBeats:
+    """Instances that were heard again without news, told between keepers."""
+
+    heard: tuple[tuple[str, int], ...]
+
+
+@message(103)
+class InstanceSnapshot:
+    """All instances that a keeper knows; `complete` as in KeeperState."""
+
+    instances: tuple[Instance, ...]
+    complete: bool
+
+
+@message(104)
+class NewsReceived:
+    """Confirms an InstanceNews to the keeper that told it."""
+
+    number: int
+
+
+@message(105)
+class NumberedNews:
+    """News that the teller waits for to be confirmed."""
+
+    number: int
+    instances: tuple[Instance, ...]
+
+
+@message(110)
+class ConfigFetch:
+    """A router asks for all that was committed after what it has."""
+
+    committed: tuple[int, int]
+
+
+@message(111)
+class ConfigUpdate:
+    """Committed configuration: entries behind `after`, or a snapshot and entries behind that."""
+
+    after: tuple[int, int]
+    snapshot: Snapshot | None
+    entries: tuple[Entry, ...]
+
+
+@message(120)
+class TokenRequest:
+    """A router asks for tokens of a tenant: `need` at least, `want` if there are as many."""
+
+    number: int
+    tenant: str
+    need: float
+    want: float
+
+
+@message(121)
+class TokenGrant:
+    """What was lent, by whom, and when there may be enough where it was not."""
+
+    number: int
+    epoch: int
+    tenant: str
+    granted: float
+    retry_after_s: float
--- /dev/null
+++ b/pebbledrift/cluster/roles.py
@@ -0,0 +1,44 @@
+"""Starts one role of the fleet's binary. What the other role needs is not imported."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from pebbledrift import logs
+from pebbledrift.cluster import boot
+from pebbledrift.cluster.errors import BootError
+
+EXIT_SETTINGS = 2
+Role = Callable[[boot.BootSettings, Callable[[], boot.BootSettings]], Coroutine[Any, Any, None]]
+
+
+async def _router(settings: boot.BootSettings, reload: Callable[[], boot.BootSettings]) -> None:
+    from pebbledrift.router.service import Router
+
+    await Router(settings, reload).run()
+
+
+async def _keeper(settings: boot.BootSettings, reload: Callable[[], boot.BootSettings]) -> None:
+    from pebbledrift.keeper.service import Keeper
+
+    await Keeper(settings).run()
+
+
+ROLES: dict[str, Role] = {"router": _router, "keeper": _keeper}
+
+
+def run(role: str) -> int:
+    """Read the boot settings and serve; returns the exit code."""
+    path = os.environ.get(boot.VARIABLE, boot.DEFAULT_PATH)
+    try:
+        settings = boot.load(path)
+        logs.setup(os.environ.get("PEBBLEDRIFT_LOG", "warning"), node=settings.name)
+        asyncio.run(ROLES[role](settings, lambda: boot.load(path)))
+    except BootError as error:
+        print(f"pebbledrift {role}: {error}", file=sys.stderr)
+        return EXIT_SETTINGS
+    return 0
--- /dev/null
+++ b/pebbledrift/cluster/transport.py
@@ -0,0 +1,199 @@
+"""Connections between the processes of the fleet: messages both ways, watched for silence, made anew."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from pebbledrift.cluster.boot import Address, format_address
+from pebbledrift.cluster.codec import FrameReader, frame, message
+from pebbledrift.cluster.errors import MessageError
+
+log = logging.getLogger(__name__)
+
+PING_S = 0.5
+SILENCE_S = 1.6  # a connection that nothing came on for so long is given up
+CONNECT_S = 0.6
+RETRY_S, RETRY_MOST_S = 0.1, 0.5
+WRITE_MOST = 16 * 1024 * 1024  # unsent bytes beyond which the peer is taken to be stuck
+BACKLOG = 256
+
+
+@message(1)
+class Hello:
+    """The first message of whoever connects: what it is and where it can be reached."""
+
+    role: str
+    name: str
+    address: str
+    zone: str
+    incarnation: int
+
+
+@message(2)
+class Ping:
+    """Says that the sender lives."""
+
+
+class Listener(Protocol):
+    """Whoever gets the messages of a connection."""
+
+    def opened(self, channel: Channel) -> None:
+        """The peer has said who it is, or our connection to it is up."""
+
+    def received(self, channel: Channel, message: Any) -> None:
+        """A message came."""
+
+    def closed(self, channel: Channel) -> None:
+        """The connection has ended."""
+
+
+class Channel(asyncio.Protocol):
+    """One connection. `peer` is known once its Hello has come; we know whom we dialled."""
+
+    def __init__(self, listener: Listener, hello: Hello | None = None, address: str = "") -> None:
+        self.listener = listener
+        self.hello = hello  # ours, where we dialled
+        self.address = address  # of the peer, as HOST:PORT
+        self.peer: Hello | None = None
+        self.open = False
+        self._reader = FrameReader()
+        self._transport: asyncio.Transport | None = None
+        self._heard = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._loop = asyncio.get_running_loop()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._heard = self._loop.time()
+        _tune(transport.get_extra_info("socket"))
+        self._timer = self._loop.call_later(PING_S, self._watch)
+        if self.hello is not None:
+            self.open = True
+            self.send(self.hello)
+            self.listener.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        self._heard = self._loop.time()
+        try:
+            for received in self._reader.feed(data):
+                self._take(received)
+        except MessageError as error:
+            log.warning("peer sent no message", extra={"peer": self.address, "error": str(error)})
+            self.abort()
+
+    def _take(self, received: Any) -> None:
+        if isinstance(received, Ping):
+            return
+        if isinstance(received, Hello):
+            self.peer, self.address = received, received.address
+            if self.hello is None and not self.open:
+                self.open = True
+                self.listener.opened(self)
+            return
+        if not self.open:
+            raise MessageError("no hello")
+        self.listener.received(self, received)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        if self.open:
+            self.open = False
+            self.listener.closed(self)
+
+    def _watch(self) -> None:
+        if self._loop.time() - self._heard > SILENCE_S:
+            self.abort()
+            return
+        self.send(Ping())
+        self._timer = self._loop.call_later(PING_S, self._watch)
+
+    def send(self, value: Any) -> None:
+        """Send a message; one to a peer that takes nothing any more ends the connection."""
+        self.send_frame(frame(value))
+
+    def send_frame(self, data: bytes) -> None:
+        """Send a message that was encoded before: the same to many."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._transport.get_write_buffer_size() > WRITE_MOST:
+            self.abort()
+            return
+        self._transport.write(data)
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+def _tune(connection: socket.socket) -> None:
+    """Notice a peer that has gone silently."""
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(SILENCE_S * 1000))
+
+
+class Dialer:
+    """Keeps a connection to one address up."""
+
+    def __init__(self, address: Address, hello: Callable[[], Hello], listener: Listener) -> None:
+        self.address = address
+        self.name = format_address(address)
+        self._hello, self._listener = hello, listener
+        self.channel: Channel | None = None
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        pause = RETRY_S
+        while True:
+            ended = loop.create_future()
+            try:
+                async with asyncio.timeout(CONNECT_S):
+                    _, channel = await loop.create_connection(lambda: self._make(ended), *self.address)
+            except (OSError, TimeoutError):
+                pause = min(RETRY_MOST_S, 2 * pause)
+            else:
+                pause = RETRY_S
+                self.channel = channel
+                await ended
+                self.channel = None
+            await asyncio.sleep(pause)
+
+    def _make(self, ended: asyncio.Future[None]) -> Channel:
+        return _Dialled(self._listener, self._hello(), self.name, ended)
+
+    def send(self, value: Any) -> None:
+        """Send a message if the connection is up; else it is lost."""
+        if self.channel is not None:
+            self.channel.send(value)
+
+    def close(self) -> None:
+        """Give the connection up for good."""
+        self._task.cancel()
+        if self.channel is not None:
+            self.channel.abort()
+
+
+class _Dialled(Channel):
+    """A channel of ours; tells its dialer when it has ended."""
+
+    def __init__(self, listener: Listener, hello: Hello, address: str, ended: asyncio.Future[None]) -> None:
+        super().__init__(listener, hello, address)
+        self._ended = ended
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        if not self._ended.done():
+            self._ended.set_result(None)
+
+
+async def serve(address: Address, listener: Listener) -> asyncio.Server:
+    """Accept connections of other processes."""
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(lambda: Channel(listener), *address, backlog=BACKLOG)
--- /dev/null
+++ b/pebbledrift/control/quota.py
@@ -0,0 +1,93 @@
+"""Tokens of the tenants, lent to the routers by the one keeper that acts for all."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+UNCONNECTED_SHARE_MOST = 0.9
+
+
+@dataclass(slots=True)
+class Bucket:
+    """What may still be spent: grows by `rate` a second up to `burst`."""
+
+    rate: float
+    burst: float
+    level: float
+    at: float
+
+    def refill(self, now: float, share: float = 1.0) -> None:
+        """Count the time since the last call."""
+        grown = self.level + max(0.0, now - self.at) * self.rate * share
+        self.level, self.at = min(grown, max(self.burst, self.rate)), max(now, self.at)
+
+    def take(self, need: float, want: float) -> float:
+        """Take what is wanted, or at least what is needed; 0 where there is not even that."""
+        if self.level < min(need, max(self.burst, self.rate)):
+            return 0.0
+        taken = max(need, min(want, self.level))
+        self.level -= taken
+        return taken
+
+    def wait_for(self, need: float) -> float:
+        """Seconds until as much has grown."""
+        return max(0.0, need - self.level) / self.rate if self.rate > 0 else 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class TenantQuota:
+    """A tenant's agreed rate, in tokens or requests a second."""
+
+    name: str
+    rate: float
+    burst: float
+    in_tokens: bool
+    uncached_tokens: float
+
+
+def quotas_of(config: dict[str, Any] | None) -> list[TenantQuota]:
+    """The quotas that a configuration sets; a rate of 0 is no limit."""
+    found = []
+    for tenant in (config or {}).get("tenants") or []:
+        rate = float(tenant.get("rate-per-s") or 0.0)
+        if rate > 0:
+            in_tokens = tenant.get("unit") == "tokens"
+            plain = float(tenant.get("uncached-tokens") or 0.0)
+            found.append(TenantQuota(tenant["name"], rate, float(tenant.get("burst") or 0.0), in_tokens, plain))
+    return found
+
+
+class TokenBank:
+    """The buckets of all tenants. A bank begins empty: others may have lent all there was just before."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, Bucket] = {}
+
+    def clear(self) -> None:
+        """Begin anew, with nothing to lend."""
+        self._buckets.clear()
+
+    def configure(self, quotas: Iterable[TenantQuota], now: float) -> None:
+        """Follow a configuration."""
+        buckets = {}
+        for quota in quotas:
+            known = self._buckets.get(quota.name)
+            if known is None:
+                known = Bucket(quota.rate, quota.burst, 0.0, now)
+            else:
+                known.refill(now)
+                known.rate, known.burst = quota.rate, quota.burst
+                known.level = min(known.level, max(quota.burst, quota.rate))
+            buckets[quota.name] = known
+        self._buckets = buckets
+
+    def lend(self, tenant: str, need: float, want: float, now: float, share: float) -> tuple[float, float]:
+        """What is lent, and after how long there may be enough. `share`: of the rate that is ours to lend."""
+        bucket = self._buckets.get(tenant)
+        if bucket is None:
+            return 0.0, 1.0
+        bucket.refill(now, share)
+        granted = bucket.take(need, want)
+        return granted, 0.0 if granted else bucket.wait_for(need)
--- /dev/null
+++ b/pebbledrift/keeper/service.py
@@ -0,0 +1,294 @@
+"""The keeper's process: replica, disk, connections, workers and the control interface put together."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+import shutil
+import signal
+import threading
+from typing import Any
+
+from pebbledrift.chain.messages import Entry, Identity, Snapshot, Stamp
+from pebbledrift.chain.recovery import Recovered
+from pebbledrift.chain.replica import Replica, ReplicaSettings
+from pebbledrift.chain.storage import Storage
+from pebbledrift.chain.view import FOUNDER, founding_view, node_name
+from pebbledrift.cluster.boot import BootSettings, format_address
+from pebbledrift.cluster.errors import StorageError
+from pebbledrift.cluster.fleet_messages import (
+    ROLE_KEEPER,
+    ConfigFetch,
+    ConfigUpdate,
+    KeeperState,
+    TokenGrant,
+    TokenRequest,
+)
+from pebbledrift.cluster.transport import Channel, Hello, serve
+from pebbledrift.control.orders import Judgement, Order
+from pebbledrift.control.quota import TokenBank, quotas_of
+from pebbledrift.control.registry import Instance
+from pebbledrift.control.schema import check
+from pebbledrift.keeper.api import ControlApi, make_server
+from pebbledrift.keeper.disk import DiskWriter
+from pebbledrift.keeper.peers import KeeperNetwork
+from pebbledrift.keeper.workers import WorkerDesk
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.04
+STATE_S = 0.5  # between words to the routers on where we stand
+CALL_S = 3.8  # the operator's calls: an answer that comes later is not waited for
+LEAVE_S = 0.4  # after SIGTERM the others have so long to go on without us
+
+
+class Keeper:
+    """One keeper."""
+
+    def __init__(self, boot: BootSettings) -> None:
+        self.boot = boot
+        self.loop = asyncio.get_running_loop()
+        self.internal = (boot.ip, boot.port_range[0])
+        self.address = format_address(self.internal)
+        self.incarnation = secrets.randbits(53)
+        self.storage, recovered = self._open_storage()
+        self.replica = self._make_replica(recovered)
+        self.network = KeeperNetwork(
+            self.address, self._hello, self._from_keeper, self._keeper_up, self._keeper_lost
+        )
+        self.network.from_router = self._from_router
+        self.network.router_joined = self._router_joined
+        self.workers = WorkerDesk(self.network, boot.heartbeat_ms / 1000)
+        self.bank = TokenBank()
+        self._bank_epoch = 0
+        self._state_at = 0.0
+        self._told: tuple[Any, ...] = ()
+        self._most_routers = 0
+        self.replica.on_commit = self._on_commit
+        self.disk = DiskWriter(self.storage, self._synced) if self.storage is not None else None
+        self._stopping = asyncio.Event()
+
+    # start
+
+    def _open_storage(self) -> tuple[Storage | None, Recovered]:
+        if self.boot.data_dir is None:
+            return None, Recovered()
+        storage = Storage(self.boot.data_dir / "keeper")
+        try:
+            return storage, storage.open()
+        except StorageError as error:
+            # what cannot be read is not guessed: the disk counts as lost, and the others tell us all again
+            log.error("state is not readable: begun anew", extra={"error": str(error)})
+            storage.close()
+            shutil.rmtree(storage.folder, ignore_errors=True)
+            return storage, storage.open()
+
+    def _founders(self) -> list[str]:
+        return [format_address((host, self.internal[1])) for host, _ in self.boot.seeds]
+
+    def _make_replica(self, recovered: Recovered) -> Replica:
+        founders = self._founders()
+        founding = (
+            recovered.node is None
+            and self.boot.bootstrap
+            and self.storage is not None
+            and self.address in founders
+        )
+        fresh = recovered.node is None
+        if recovered.node is None:
+            generation = FOUNDER if founding else secrets.token_hex(6)
+            recovered.node = node_name(self.address, generation)
+        if founding:
+            recovered.stored.view = founding_view(founders)
+        settings = ReplicaSettings(
+            address=self.address,
+            control=format_address(self.boot.address_of("control")),
+            zone=self.boot.zone,
+            node=recovered.node,
+            incarnation=self.incarnation,
+            eligible=self.storage is not None and self.boot.counts_for_quorum,
+            tolerated=self.boot.tolerated_machines,
+            contacts=tuple(founders),
+            seed=self.incarnation,
+        )
+        replica = Replica(settings, check, recovered.stored, self.loop.time())
+        if fresh:
+            view = recovered.stored.view
+            replica.outbox.persist(Identity(recovered.node), *([view] if view is not None else []))
+        return replica
+
+    def _hello(self) -> Hello:
+        return Hello(ROLE_KEEPER, self.boot.name, self.address, self.boot.zone, self.incarnation)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self._stopping.set)
+        self.loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        server = await serve(self.internal, self.network)
+        api = make_server(self.boot.address_of("control"), ControlApi(self, self.loop))
+        api.prepare()
+        threading.Thread(target=api.serve, name="control", daemon=True).start()
+        ticking = self.loop.create_task(self._tick())
+        await self._stopping.wait()
+        self.replica.leaving = True
+        await asyncio.sleep(LEAVE_S)
+        threading.Thread(target=api.stop, name="stop", daemon=True).start()
+        ticking.cancel()
+        server.close()
+        self.network.close()
+
+    # the loop
+
+    async def _tick(self) -> None:
+        while True:
+            now = self.loop.time()
+            self.replica.tick(now)
+            self.workers.tick(now)
+            self.network.follow(self.replica.peers.addresses)
+            self._tell_state(now)
+            self._flush()
+            if self.disk is not None and self.replica.agreement.view is not None and self.disk.wants_image():
+                self.disk.put_image(self.replica.image())
+            await asyncio.sleep(TICK_S)
+
+    def _flush(self) -> None:
+        """Carry out what the replica wants done."""
+        outbox = self.replica.outbox
+        while outbox.writes or outbox.envelopes:
+            for write in outbox.take_writes():
+                if self.disk is not None:
+                    self.disk.put(write)
+                else:
+                    self.loop.call_soon(self._synced, write.number)
+            for envelope in outbox.take_envelopes():
+                if envelope.address == self.address:
+                    self.replica.receive(self.address, envelope.message, self.loop.time())
+                else:
+                    self.network.send(envelope.address, envelope.message)
+
+    def _synced(self, number: int) -> None:
+        self.replica.synced(number, self.loop.time())
+        self._flush()
+
+    def _from_keeper(self, sender: str, message: Any) -> None:
+        if self.replica.receive(sender, message, self.loop.time()):
+            self._flush()
+        else:
+            self.workers.from_keeper(sender, message)
+
+    def _keeper_up(self, address: str) -> None:
+        self.network.send(address, self.workers.snapshot())
+
+    def _keeper_lost(self, address: str) -> None:
+        self.replica.connection_lost(address)
+
+    # routers
+
+    def _router_joined(self, channel: Channel) -> None:
+        channel.send(self._state(self.loop.time()))
+        channel.send(self.workers.snapshot())
+
+    def _from_router(self, channel: Channel, message: Any) -> None:
+        if isinstance(message, ConfigFetch):
+            channel.send(self._committed_after(Stamp(*message.committed)))
+        elif isinstance(message, TokenRequest):
+            channel.send(self._lend(message))
+
+    def _committed_after(self, after: Stamp) -> ConfigUpdate:
+        log_ = self.replica.log
+        snapshot: Snapshot | None = None
+        if not log_.holds(after) or after.sequence > log_.committed.sequence:
+            snapshot = Snapshot(log_.committed, log_.snapshot().config, [])
+            after = log_.committed
+        entries = log_.after(after.sequence, log_.committed.sequence)
+        return ConfigUpdate(after, snapshot, entries)
+
+    def _state(self, now: float) -> KeeperState:
+        view = self.replica.agreement.view
+        head = view.chain[0].node.rpartition("/")[0] if view is not None and view.chain else ""
+        living = [peer.heartbeat for peer in self.replica.peers.living(now)]
+        keepers = sorted({h.node.rpartition("/")[0] for h in living} | {self.address})
+        return KeeperState(
+            self.replica.link.epoch,
+            head,
+            self.replica.current(now),
+            self.replica.log.committed,
+            self.workers.complete,
+            tuple(keepers),
+            len(set(self.network.routers.values())),
+        )
+
+    def _tell_state(self, now: float) -> None:
+        state = self._state(now)
+        news = (state.epoch, state.head, state.current, state.committed, state.complete, state.keepers)
+        if news == self._told and now < self._state_at:
+            return
+        self._told, self._state_at = news, now + STATE_S
+        self.network.send_routers(state)
+
+    def _on_commit(self, entries: list[Entry]) -> None:
+        self.bank.configure(quotas_of(self.replica.log.state.config), self.loop.time())
+        self._state_at = 0.0
+        self._tell_state(self.loop.time())
+
+    def _lend(self, request: TokenRequest) -> TokenGrant:
+        """Lend tokens, as the head of a chain that a majority goes on with."""
+        now = self.loop.time()
+        epoch = self.replica.link.epoch
+        if not self.replica.link.is_head or not self.replica.established or not self.replica.current(now):
+            return TokenGrant(request.number, 0, request.tenant, 0.0, 0.2)
+        if self._bank_epoch != epoch:
+            self._bank_epoch = epoch
+            self.bank.clear()
+            self.bank.configure(quotas_of(self.replica.log.state.config), now)
+        granted, wait = self.bank.lend(request.tenant, request.need, request.want, now, 1.0)
+        return TokenGrant(request.number, epoch, request.tenant, granted, wait)
+
+    # the control interface
+
+    async def order(self, order: Order) -> Judgement | None:
+        """Carry an order out; None where there is no clear answer."""
+        return await self._call(order)
+
+    async def read(self) -> dict[str, Any] | None:
+        """The newest configuration; None where that cannot be told."""
+        answered = await self._call(None)
+        return self.replica.log.state.config if answered is not None else None
+
+    async def _call(self, order: Order | None) -> Judgement | None:
+        done: asyncio.Future[Judgement | None] = self.loop.create_future()
+
+        def finish(judgement: Judgement | None) -> None:
+            if not done.done():
+                done.set_result(judgement)
+
+        self.replica.call(order, self.loop.time(), CALL_S, finish)
+        self._flush()
+        return await done
+
+    async def heartbeat(self, instance: Instance) -> bool:
+        """Take a worker's heartbeat in."""
+        return await self.workers.heartbeat(instance)
+
+    async def deregister(self, instance: str) -> None:
+        """A worker's instance has ended."""
+        await self.workers.deregister(instance)
+
+    async def status(self) -> dict[str, Any]:
+        """What an operator wants to see of this keeper."""
+        now = self.loop.time()
+        view = self.replica.agreement.view
+        return {
+            "name": self.boot.name,
+            "node": self.replica.settings.node,
+            "epoch": self.replica.link.epoch,
+            "members": list(view.members) if view is not None else [],
+            "chain": view.chain_nodes if view is not None else [],
+            "current": self.replica.current(now),
+            "revision": self.replica.log.state.revision,
+            "committed": list(self.replica.log.committed),
+            "routers": sorted(set(self.network.routers.values())),
+            "instances": {i.id: i.backend for i in self.workers.registry.instances.values()},
+        }
--- /dev/null
+++ b/pebbledrift/keeper/workers.py
@@ -0,0 +1,120 @@
+"""Workers at one keeper: their heartbeats, and what others have to hear before one is acknowledged."""
+
+from __future__ import annotations
+
+import asyncio
+
+from pebbledrift.cluster.fleet_messages import (
+    InstanceBeats,
+    InstanceNews,
+    InstanceSnapshot,
+    NewsReceived,
+    NumberedNews,
+)
+from pebbledrift.control.registry import Instance, InstanceState, Registry, gone
+from pebbledrift.keeper.peers import KeeperNetwork
+
+CONFIRM_S = 0.35  # another keeper has so long to confirm that a worker leaves
+BEATS_S = 1.0
+FORGET_AFTER_S = 60.0
+COMPLETE_AFTER_BEATS = 1.4  # by then every worker that reports has reported to somebody
+
+
+class WorkerDesk:
+    """Takes heartbeats in and passes on what is new."""
+
+    def __init__(self, network: KeeperNetwork, heartbeat_s: float) -> None:
+        self.registry = Registry()
+        self._network = network
+        self._loop = asyncio.get_running_loop()
+        self._complete_at = self._loop.time() + COMPLETE_AFTER_BEATS * heartbeat_s
+        self._complete = False
+        self._beats: dict[str, int] = {}
+        self._beats_at = self._loop.time()
+        self._number = 0
+        self._unconfirmed: dict[int, asyncio.Future[None]] = {}
+
+    @property
+    def complete(self) -> bool:
+        """Whether all workers that report anywhere are known here."""
+        self._complete = self._complete or self._loop.time() >= self._complete_at
+        return self._complete
+
+    async def heartbeat(self, told: Instance) -> bool:
+        """Take a heartbeat in; returns whether it may be acknowledged."""
+        if self.registry.is_gone(told.id):
+            return True
+        self._beats[told.id] = told.sequence
+        news = self.registry.merge(told, self._loop.time())
+        if news is not None:
+            await self._tell(news)
+        return True
+
+    async def deregister(self, instance: str) -> None:
+        """An instance has ended."""
+        news = self.registry.merge(gone(instance), self._loop.time())
+        if news is not None:
+            await self._tell(news)
+
+    async def _tell(self, news: Instance) -> None:
+        """Tell routers and keepers; that a worker leaves is known to another keeper before this returns."""
+        self._network.send_routers(InstanceNews((news,)))
+        if news.state == InstanceState.READY:
+            self._network.send_keepers(InstanceNews((news,)))
+            return
+        self._number += 1
+        number, confirmed = self._number, self._loop.create_future()
+        self._unconfirmed[number] = confirmed
+        try:
+            if self._network.send_keepers(NumberedNews(number, (news,))):
+                async with asyncio.timeout(CONFIRM_S):
+                    await confirmed
+        except TimeoutError:
+            return  # no other keeper can be reached: the routers have been told
+        finally:
+            del self._unconfirmed[number]
+
+    def from_keeper(self, sender: str, message: object) -> None:
+        """What another keeper tells of workers."""
+        if isinstance(message, NumberedNews):
+            self._merge(message.instances)
+            self._network.send(sender, NewsReceived(message.number))
+        elif isinstance(message, NewsReceived):
+            waiting = self._unconfirmed.get(message.number)
+            if waiting is not None and not waiting.done():
+                waiting.set_result(None)
+        elif isinstance(message, InstanceNews):
+            self._merge(message.instances)
+        elif isinstance(message, InstanceSnapshot):
+            self._merge(message.instances)
+            self._complete = self._complete or message.complete
+        elif isinstance(message, InstanceBeats):
+            self._heard_elsewhere(message)
+
+    def _heard_elsewhere(self, message: InstanceBeats) -> None:
+        now = self._loop.time()
+        for instance, sequence in message.heard:
+            known = self.registry.instances.get(instance)
+            if known is not None and sequence >= known.sequence:
+                self.registry.heard[instance] = now
+
+    def _merge(self, instances: tuple[Instance, ...]) -> None:
+        now = self._loop.time()
+        merged = [self.registry.merge(instance, now) for instance in instances]
+        news = tuple(instance for instance in merged if instance is not None)
+        if news:
+            self._network.send_routers(InstanceNews(news))
+
+    def snapshot(self) -> InstanceSnapshot:
+        """All that is known, for a router or keeper that connects."""
+        return InstanceSnapshot(tuple(self.registry.snapshot()), self.complete)
+
+    def tick(self, now: float) -> None:
+        """Tell the keepers who was heard, and forget whom nobody has heard for long."""
+        if now < self._beats_at:
+            return
+        self._beats_at = now + BEATS_S
+        if self._beats:
+            self._network.send_keepers(InstanceBeats(tuple(self._beats.items())))
+            self._beats = {}
+        self.registry.forget(self.registry.silent(now, FORGET_AFTER_S))
--- /dev/null
+++ b/pebbledrift/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router: takes clients' requests and carries them to workers."""
--- /dev/null
+++ b/pebbledrift/router/flow.py
@@ -0,0 +1,392 @@
+"""The life of one request: admitted, placed, sent, its answer passed on; exactly one final answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from pebbledrift.cluster.boot import parse_address
+from pebbledrift.control.registry import Instance
+from pebbledrift.net.http import Message, request
+from pebbledrift.router import request as heads
+from pebbledrift.router.client import HOP_BY_HOP, ClientConnection
+from pebbledrift.router.events import EventCutter, EventTooLong
+from pebbledrift.router.placement import Placement
+from pebbledrift.router.retries import RetryBudget
+from pebbledrift.router.routes import PRIORITY_MOST, Route, Tenant
+from pebbledrift.router.upstream import Ending, Exchange, WorkerPool
+from spoolpier.interface import OutcomeKind
+
+log = logging.getLogger(__name__)
+
+ANSWER_MARGIN_S = 0.02  # the final answer is on its way so long before the client gives up
+LEAST_LEFT_S = 0.01  # with less time left nothing is sent to a worker any more
+UNARY_MOST = 8 * 1024 * 1024
+DROPPED = frozenset((*HOP_BY_HOP, heads.EXPECT_INSTANCE, heads.TENANT, heads.DEADLINE, "priority"))
+
+
+class RouterState(Protocol):
+    """What a request asks of its router at each write."""
+
+    def may_use(self, instance: Instance) -> bool:
+        """Whether the instance is still in service."""
+
+    def mismatch(self, instance: Instance) -> None:
+        """Another worker has the instance's address."""
+
+    def routers(self) -> int:
+        """How many routers there are."""
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request that is to be carried out."""
+
+    name: str
+    message: Message
+    route: Route
+    tenant: Tenant | None
+    strip_key: bool
+    deadline: float  # loop time
+    key: int | None
+
+
+class RequestFlow:
+    """One admitted request on its way. Nothing more happens once `_over` is set."""
+
+    def __init__(
+        self,
+        admitted: Admitted,
+        client: ClientConnection,
+        placement: Placement,
+        pool: WorkerPool,
+        budget: RetryBudget,
+        state: RouterState,
+    ) -> None:
+        self.admitted, self.client = admitted, client
+        self._placement, self._pool, self._budget, self._state = placement, pool, budget, state
+        self._loop = asyncio.get_running_loop()
+        self._attempt: Attempt | None = None
+        self._over = False
+        self._may_have_run = False
+        self._head_sent = False
+        self._cutter = EventCutter()
+        self._failure: tuple[int, Mapping[str, str], bytes] | None = None  # a worker's own, kept for the end
+        self._timer = self._loop.call_at(admitted.deadline - ANSWER_MARGIN_S, self._out_of_time)
+
+    def submit(self) -> None:
+        """Let the module place the request."""
+        self._budget.note_request(self._loop.time())
+        left_ms = max(1.0, (self.admitted.deadline - self._loop.time()) * 1000.0)
+        self._placement.submit(self.admitted.name, self, self.admitted.route, self.admitted.key, left_ms)
+
+    # what the module decides
+
+    def send(self, attempt: int, instance: Instance) -> None:
+        """Begin an attempt at a worker."""
+        if self._over:
+            return
+        if attempt > 0 and not self._budget.take(self._loop.time(), self._state.routers()):
+            self._report(attempt, instance, OutcomeKind.CANCELLED, 0.0, done=True)
+            self._give_up()
+            return
+        self._attempt = Attempt(self, attempt, instance)
+        self._attempt.begin(self._pool)
+
+    def cancel(self, attempt: int) -> None:
+        """Give an attempt up."""
+        if self._attempt is not None and self._attempt.number == attempt:
+            self._attempt.cancel()
+
+    def refuse(self, retry_after_ms: float) -> None:
+        """Answer that the request was not run and may come again."""
+        if self._may_have_run and not self.admitted.route.idempotent:
+            self.fail()
+            return
+        self._finish_with(503, {"Retry-After": f"{retry_after_ms / 1000:.3f}"}, b"")
+
+    def fail(self) -> None:
+        """Answer that the request failed."""
+        if self._failure is not None:
+            self._finish_with(*self._failure)
+        elif self._may_have_run:
+            self._finish_with(502, {}, b"")
+        else:
+            self._finish_with(503, {}, b"")
+
+    def _give_up(self) -> None:
+        self.refuse(100.0) if not self._may_have_run else self.fail()
+
+    def _out_of_time(self) -> None:
+        if self._over:
+            return
+        if self._attempt is not None:
+            self._attempt.cancel()
+            self._may_have_run = self._may_have_run or self._attempt.written
+        if self._head_sent:
+            self._abort()
+        elif self._may_have_run:
+            self._finish_with(504, {}, b"")
+        else:
+            self._finish_with(503, {}, b"")
+        self._placement.gone(self.admitted.name)
+
+    # the client
+
+    def client_gone(self) -> None:
+        """The client has left: its worker is told at once."""
+        if self._over:
+            return
+        self._end()
+        if self._attempt is not None:
+            self._attempt.cancel()
+        self._placement.gone(self.admitted.name)
+
+    def client_slow(self, paused: bool) -> None:
+        """The client reads slowly, or goes on: the worker's answer waits with it."""
+        if self._attempt is not None:
+            self._attempt.exchange.hold(paused)
+
+    def _end(self) -> None:
+        self._over = True
+        self._timer.cancel()
+        self._placement.end(self.admitted.name)
+
+    def _finish_with(self, status: int, headers: Mapping[str, str], body: bytes) -> None:
+        if self._over:
+            return
+        if self._head_sent:
+            self._abort()
+            return
+        self._end()
+        self.client.answer(status, headers, body)
+
+    def _abort(self) -> None:
+        """End visibly incomplete."""
+        if not self._over:
+            self._end()
+            self.client.owner = None
+            self.client.abort()
+
+    # the attempt's answer
+
+    def _report(
+        self, attempt: int, instance: Instance, kind: OutcomeKind, elapsed_ms: float, done: bool
+    ) -> None:
+        self._placement.outcome(self.admitted.name, attempt, instance, kind, elapsed_ms, done)
+
+    def may_write(self, instance: Instance) -> bool:
+        """Judged right before the write: client, time and instance."""
+        left = self.admitted.deadline - self._loop.time()
+        return not self._over and self.client.alive and left > LEAST_LEFT_S and self._state.may_use(instance)
+
+    def request_bytes(self, instance: Instance) -> bytes:
+        """The request as the worker gets it."""
+        admitted = self.admitted
+        message = admitted.message
+        headers = {name: value for name, value in message.headers.items() if name not in DROPPED}
+        if admitted.strip_key:
+            headers.pop("authorization", None)
+        left_ms = max(1, int((admitted.deadline - self._loop.time()) * 1000))
+        headers[heads.DEADLINE] = str(left_ms)
+        headers[heads.EXPECT_INSTANCE] = instance.id
+        if admitted.tenant is not None:
+            headers[heads.TENANT] = admitted.tenant.name
+        headers["priority"] = str(self._priority())
+        if self._head_sent and self._cutter.last_id is not None:
+            headers[heads.LAST_EVENT_ID] = self._cutter.last_id.decode("latin-1")
+        return request(message.first, message.second, headers, bytes(message.body))
+
+    def _priority(self) -> int:
+        admitted = self.admitted
+        own = admitted.tenant.priority if admitted.tenant is not None else None
+        return max(0, min(PRIORITY_MOST, admitted.route.priority if own is None else own))
+
+    def attempt_started(self, attempt: Attempt) -> None:
+        """The first event or the whole answer has come."""
+        self._placement.started(
+            self.admitted.name, attempt.number, attempt.instance, streamed=self.admitted.route.streaming
+        )
+
+    def pass_events(self, attempt: Attempt, data: bytes) -> None:
+        """Pass whole events on."""
+        try:
+            events = self._cutter.feed(data)
+        except EventTooLong:
+            attempt.cancel()
+            self.attempt_ended(attempt, OutcomeKind.BROKEN)
+            return
+        if events:
+            if not attempt.started:
+                attempt.started = True
+                self.attempt_started(attempt)
+            self._pass_head(attempt)
+            self.client.chunk(events)
+
+    def _pass_head(self, attempt: Attempt) -> None:
+        if not self._head_sent:
+            self._head_sent = True
+            assert attempt.answer is not None
+            self.client.head(attempt.answer.status, passed_headers(attempt.answer))
+
+    def stream_complete(self, attempt: Attempt) -> None:
+        """The stream is whole, if it does not end within an event."""
+        if self._cutter.partial:
+            self.attempt_ended(attempt, OutcomeKind.BROKEN)
+            return
+        self._pass_head(attempt)
+        self._report(attempt.number, attempt.instance, OutcomeKind.SERVED, attempt.elapsed_ms, done=True)
+        self._end()
+        self.client.end()
+
+    def answer_complete(self, attempt: Attempt, body: bytes) -> None:
+        """A whole answer that is no stream."""
+        head = attempt.answer
+        assert head is not None
+        succeeded = 200 <= head.status < 300 and heads.SEAL in head.headers
+        if succeeded:
+            self._report(attempt.number, attempt.instance, OutcomeKind.SERVED, attempt.elapsed_ms, done=True)
+            self._finish_with(head.status, passed_headers(head), body)
+            return
+        self._failure = head.status, passed_headers(head), body
+        if 200 <= head.status < 300:
+            self._failure = None  # a success without its seal is no answer of the worker's
+        self.attempt_ended(attempt, OutcomeKind.ERROR)
+
+    def attempt_ended(self, attempt: Attempt, kind: OutcomeKind) -> None:
+        """There is no whole answer from this attempt; the module decides whether there is another."""
+        if self._attempt is attempt:
+            self._attempt = None
+        ran = kind in (OutcomeKind.BROKEN, OutcomeKind.ERROR, OutcomeKind.TIMED_OUT)
+        self._may_have_run = self._may_have_run or ran
+        if self._over:
+            self._report(attempt.number, attempt.instance, OutcomeKind.CANCELLED, attempt.elapsed_ms, True)
+            return
+        if self._head_sent:
+            self._cutter.resume()
+        lost = ran and not self.admitted.route.idempotent
+        self._report(attempt.number, attempt.instance, kind, attempt.elapsed_ms, done=lost)
+        if lost:
+            self.fail()
+
+    def attempt_cancelled(self, attempt: Attempt) -> None:
+        """An attempt was given up by us."""
+        if self._attempt is attempt:
+            self._attempt = None
+        self._report(attempt.number, attempt.instance, OutcomeKind.CANCELLED, attempt.elapsed_ms, self._over)
+
+    def mismatch(self, instance: Instance) -> None:
+        """Another worker has the instance's address."""
+        self._state.mismatch(instance)
+
+
+class Attempt:
+    """One send of a request to one worker."""
+
+    def __init__(self, flow: RequestFlow, number: int, instance: Instance) -> None:
+        self.flow, self.number, self.instance = flow, number, instance
+        self.answer: Message | None = None
+        self.started = False
+        self.written = False
+        self._body = bytearray()
+        self._ended = False
+        self._loop = asyncio.get_running_loop()
+        self._begun = self._loop.time()
+        self.exchange: Exchange
+
+    @property
+    def elapsed_ms(self) -> float:
+        """Time since the attempt began."""
+        return (self._loop.time() - self._begun) * 1000.0
+
+    def begin(self, pool: WorkerPool) -> None:
+        """Send."""
+        self.exchange = Exchange(pool, parse_address(self.instance.address, "address"), self)
+        self.exchange.begin()
+
+    def cancel(self) -> None:
+        """Give it up."""
+        if not self._ended:
+            self._ended = True
+            self.exchange.cancel()
+            self.flow.attempt_cancelled(self)
+
+    # the exchange tells
+
+    def may_write(self) -> bool:
+        """Whether all still holds."""
+        return not self._ended and self.flow.may_write(self.instance)
+
+    def request_bytes(self) -> bytes:
+        """The request."""
+        self.written = True
+        return self.flow.request_bytes(self.instance)
+
+    def head(self, message: Message) -> bool:
+        """Take the head of an answer, unless it is another request's; one without an id is ours."""
+        told = message.headers.get(heads.REQUEST_ID)
+        if told is not None and told != self.flow.admitted.message.headers.get(heads.REQUEST_ID):
+            return False
+        self.answer = message
+        return True
+
+    @property
+    def _streams(self) -> bool:
+        head = self.answer
+        ours = self.flow.admitted.route.streaming
+        return ours and head is not None and 200 <= head.status < 300 and heads.SEAL in head.headers
+
+    def body(self, data: bytes) -> None:
+        """A part of the body."""
+        if self._ended:
+            return
+        if self._streams:
+            self.flow.pass_events(self, data)
+            return
+        self._body += data
+        if len(self._body) > UNARY_MOST:
+            self.exchange.cancel()
+            self.ended(Ending.BROKEN)
+
+    def complete(self) -> None:
+        """The answer is whole."""
+        if self._ended or self.answer is None:
+            return
+        self._ended = True
+        if self._declined():
+            return
+        if self._streams:
+            self.flow.stream_complete(self)
+        else:
+            self.flow.attempt_started(self)
+            self.flow.answer_complete(self, bytes(self._body))
+
+    def _declined(self) -> bool:
+        """Whether the worker says that it has not run the request."""
+        assert self.answer is not None
+        if self.answer.status == 421:
+            self.flow.mismatch(self.instance)
+        elif heads.NOT_EXECUTED not in self.answer.headers:
+            return False
+        self.flow.attempt_ended(self, OutcomeKind.REFUSED)
+        return True
+
+    def ended(self, ending: Ending) -> None:
+        """There is no whole answer."""
+        if self._ended:
+            return
+        self._ended = True
+        kinds = {
+            Ending.NO_CONNECTION: OutcomeKind.NO_CONNECTION,
+            Ending.NOT_SENT: OutcomeKind.NOT_SENT,
+            Ending.BROKEN: OutcomeKind.BROKEN,
+        }
+        self.flow.attempt_ended(self, kinds[ending])
+
+
+def passed_headers(message: Message) -> dict[str, str]:
+    """The headers of a worker's answer that go to the client."""
+    return {name: value for name, value in message.headers.items() if name not in HOP_BY_HOP}
--- /dev/null
+++ b/pebbledrift/router/service.py
@@ -0,0 +1,267 @@
+"""The router's process: clients, placements, connections to workers and keepers put together."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+import signal
+from collections.abc import Callable
+from typing import Any
+
+from pebbledrift.cluster.boot import BootSettings, parse_address
+from pebbledrift.cluster.errors import BootError
+from pebbledrift.cluster.fleet_messages import TokenRequest
+from pebbledrift.config import Limits
+from pebbledrift.control.registry import Instance, InstanceState
+from pebbledrift.net.http import Message
+from pebbledrift.router import readiness, request
+from pebbledrift.router.client import ClientConnection, RequestOwner
+from pebbledrift.router.control import ControlClient
+from pebbledrift.router.flow import Admitted, RequestFlow
+from pebbledrift.router.placement import Placement
+from pebbledrift.router.retries import RetryBudget
+from pebbledrift.router.routes import ClientLimits, Route, RoutingTable, Tenant
+from pebbledrift.router.tokens import TokenPurse
+from pebbledrift.router.upstream import WorkerPool
+
+log = logging.getLogger(__name__)
+
+SWEEP_S = 0.5
+STARTUP_RETRY_S = "0.2"  # Retry-After while the configuration is not known
+CLOSE_BEFORE_GRACE_S = 0.7  # what is still open so long before the end of the grace is given up
+BACKLOG = 1024
+
+
+class Router:
+    """One router."""
+
+    def __init__(self, boot: BootSettings, reload: Callable[[], BootSettings]) -> None:
+        self.boot, self._reload = boot, reload
+        self.loop = asyncio.get_running_loop()
+        self.table: RoutingTable | None = None
+        self.limits = _parser_limits(ClientLimits())
+        self.clients: set[ClientConnection] = set()
+        self.control = ControlClient(
+            boot, secrets.randbits(53), self._configured, self._instances_changed, self._granted
+        )
+        self.purse = TokenPurse(self)
+        self.pool = WorkerPool(_upstream_limits())
+        self.placements: dict[str, Placement] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+        self._number = 0
+        self._stopping = asyncio.Event()
+        self._closing = False
+        self._mismatched: dict[str, None] = {}
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, and until what was read is answered."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self._stopping.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self._read_again)
+        front = await self.loop.create_server(
+            lambda: ClientConnection(self.limits, self._begin, lambda: self._closing, self.clients),
+            *self.boot.address_of("front"),
+            backlog=BACKLOG,
+        )
+        ready = await readiness.serve(self.boot.address_of("readiness"), self.limits, self._ready)
+        sweeping = self.loop.create_task(self._sweep())
+        await self._stopping.wait()
+        await self._drain(front)
+        sweeping.cancel()
+        ready.close()
+        self.control.close()
+        self.pool.close()
+
+    async def _drain(self, front: asyncio.Server) -> None:
+        """Answer what was read; connections end with their answers, idle ones a moment later."""
+        self._closing = True
+        end = self.loop.time() + max(0.5, self.boot.bounds.grace_s - CLOSE_BEFORE_GRACE_S)
+        leave = self.loop.time() + min(2.5, self.boot.bounds.grace_s / 3)
+        while self.loop.time() < end:
+            now = self.loop.time()
+            for client in list(self.clients):
+                if client.resting and (now - client.since > 0.25 or now > leave):
+                    client.close()
+            if now > leave and not self.clients:
+                break
+            await asyncio.sleep(0.05)
+        front.close()
+        for client in list(self.clients):
+            client.abort()
+
+    def _read_again(self) -> None:
+        try:
+            self.boot = self._reload()
+        except BootError as error:
+            log.error("settings not read again", extra={"error": str(error)})
+            return
+        self.control.reload(self.boot)
+
+    def _ready(self) -> bool:
+        return not self._closing and self._started()
+
+    def _started(self) -> bool:
+        return self.table is not None and self.control.config_current and self.control.workers_known
+
+    # what the keepers tell
+
+    def _configured(self, config: dict[str, Any]) -> None:
+        self.table = table = RoutingTable(config)
+        self.limits = _parser_limits(table.limits)
+        self.purse.configure(table.tenants.values())
+        bounds = self.boot.bounds
+        for name, backend in table.backends.items():
+            if name not in self.placements:
+                self._number += 1
+                self.placements[name] = Placement(
+                    self.control.routers(), 0, backend.is_model, secrets.randbits(32)
+                )
+                self.budgets[name] = RetryBudget(
+                    bounds.retry_budget_ratio, bounds.budget_window_s, bounds.retry_budget_slack
+                )
+        self._instances_changed()
+
+    def _instances_changed(self) -> None:
+        by_backend: dict[str, list[Instance]] = {name: [] for name in self.placements}
+        for instance in self.control.registry.instances.values():
+            if instance.backend in by_backend and instance.id not in self._mismatched:
+                by_backend[instance.backend].append(instance)
+        for name, instances in by_backend.items():
+            self.placements[name].follow(instances)
+
+    def _granted(self, grant: Any) -> None:
+        self.purse.granted(grant)
+
+    def ask(self, request: TokenRequest) -> bool:
+        """Ask the keeper that acts for tokens."""
+        channel = self.control.head()
+        if channel is None:
+            return False
+        channel.send(request)
+        return True
+
+    def routers(self) -> int:
+        """How many routers there are."""
+        return self.control.routers()
+
+    def may_use(self, instance: Instance) -> bool:
+        """Whether an instance is still in service."""
+        known = self.control.registry.instances.get(instance.id)
+        return known is not None and known.state == InstanceState.READY and instance.id not in self._mismatched
+
+    def mismatch(self, instance: Instance) -> None:
+        """Another worker has the address: the instance has ended."""
+        self._mismatched[instance.id] = None
+        if len(self._mismatched) > 4096:
+            del self._mismatched[next(iter(self._mismatched))]
+        self.pool.drop(parse_address(instance.address, "address"))
+        self._instances_changed()
+
+    # clients
+
+    def _begin(self, client: ClientConnection, message: Message) -> RequestOwner | None:
+        """A request was read."""
+        arrived = self.loop.time()
+        table = self.table
+        if table is None or not self._started():
+            client.answer(503, {"Retry-After": STARTUP_RETRY_S}, b"")
+            return None
+        path = message.second.partition("?")[0]
+        route = table.match(message.headers.get("host", ""), path)
+        if route is None:
+            client.answer(404, {}, b"")
+            return None
+        key = request.api_key(message) if table.with_tenants else None
+        tenant = table.tenant_of(key) if key is not None else None
+        if table.with_tenants and tenant is None and not route.public:
+            client.answer(401, {}, b"")
+            return None
+        wait_ms = min(request.deadline_ms(message), route.timeout_ms)
+        prompt = request.prompt(message)
+        admitted = Admitted(
+            name=self._name(),
+            message=message,
+            route=route,
+            tenant=tenant,
+            strip_key=table.with_tenants,
+            deadline=arrived + wait_ms / 1000.0,
+            key=prompt.key() if prompt is not None else None,
+        )
+        return self._admit(client, admitted, tenant, None if prompt is None else prompt.tokens)
+
+    def _name(self) -> str:
+        self._number += 1
+        return str(self._number)
+
+    def _admit(
+        self, client: ClientConnection, admitted: Admitted, tenant: Tenant | None, tokens: float | None
+    ) -> RequestOwner | None:
+        if tenant is None or not tenant.limited:
+            return self._start(client, admitted)
+        pending = _PendingAdmission()
+
+        def decided(retry_after: float | None) -> None:
+            if pending.gone:
+                return
+            if retry_after is None:
+                pending.flow = self._start(client, admitted)
+                client.owner = pending.flow
+            else:
+                pending.gone = True
+                client.answer(429, {"Retry-After": f"{retry_after:.3f}"}, b"")
+
+        self.purse.take(tenant, tenant.cost(tokens), decided)
+        if pending.gone:
+            return None
+        return pending.flow or pending
+
+    def _start(self, client: ClientConnection, admitted: Admitted) -> RequestFlow | None:
+        name = self._backend(admitted.route, admitted.message)
+        placement = self.placements.get(name)
+        if placement is None:
+            client.answer(503, {"Retry-After": STARTUP_RETRY_S}, b"")
+            return None
+        flow = RequestFlow(admitted, client, placement, self.pool, self.budgets[name], self)
+        client.owner = flow
+        flow.submit()
+        return flow
+
+    @staticmethod
+    def _backend(route: Route, message: Message) -> str:
+        return route.backend_for(message.headers.get(request.REQUEST_ID, ""))
+
+    async def _sweep(self) -> None:
+        """Close connections that have rested or sent half a request for too long."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = self.loop.time()
+            limits = self.table.limits if self.table is not None else ClientLimits()
+            for client in list(self.clients):
+                if client.resting and now - client.since > limits.idle_timeout_s:
+                    client.close()
+                elif client.late(now, limits.header_timeout_s):
+                    client.answer_late()
+
+
+class _PendingAdmission:
+    """A request whose tokens are being borrowed."""
+
+    def __init__(self) -> None:
+        self.gone = False
+        self.flow: RequestFlow | None = None
+
+    def client_gone(self) -> None:
+        """The client has left before anything was sent."""
+        self.gone = True
+
+    def client_slow(self, paused: bool) -> None:
+        """Nothing is being written yet."""
+
+
+def _parser_limits(limits: ClientLimits) -> Limits:
+    return Limits(head_bytes=limits.header_bytes, body_bytes=limits.body_bytes)
+
+
+def _upstream_limits() -> Limits:
+    return Limits(head_bytes=64 * 1024)
--- /dev/null
+++ b/pebbledrift/router/tokens.py
@@ -0,0 +1,173 @@
+"""A router's part of the tenants' quotas: tokens lent by the keeper that acts, or a fixed share without it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from pebbledrift.cluster.fleet_messages import TokenGrant, TokenRequest
+from pebbledrift.control.quota import Bucket
+from pebbledrift.router.routes import Tenant
+
+LOAN_S = 1.5  # what was lent and not used by then is void
+ASK_S = 0.12  # a loan that takes longer is not waited for
+AHEAD_S = 0.25  # of its own demand, a router borrows for so long ahead
+DEMAND_SHARE = 0.1  # weight of a new second in the demand
+DENIED_MOST_S = 1.0
+
+
+class Lender(Protocol):
+    """Reaches the keeper that lends."""
+
+    def ask(self, request: TokenRequest) -> bool:
+        """Send a request; False where no keeper that acts is known."""
+
+    def routers(self) -> int:
+        """How many routers there are."""
+
+
+@dataclass(slots=True)
+class _Wallet:
+    """What is lent to us of one tenant's quota."""
+
+    tenant: Tenant
+    balance: float = 0.0
+    void_at: float = 0.0
+    denied_until: float = 0.0
+    demand: float = 0.0  # tokens a second asked of us, of late
+    demand_at: float = 0.0
+    fallback: Bucket | None = None
+
+    def note(self, cost: float, now: float) -> None:
+        """Follow the demand: an average over some seconds."""
+        if self.demand_at:
+            self.demand *= max(0.0, 1.0 - DEMAND_SHARE * (now - self.demand_at) * 4.0)
+        self.demand += cost * DEMAND_SHARE * 4.0
+        self.demand_at = now
+
+
+@dataclass(slots=True)
+class _Waiting:
+    wallet: _Wallet
+    cost: float
+    decided: Callable[[float | None], None]
+    timer: asyncio.TimerHandle | None = field(default=None)
+
+
+class TokenPurse:
+    """Takes what requests cost, or says after how long to come back."""
+
+    def __init__(self, lender: Lender) -> None:
+        self._lender = lender
+        self._loop = asyncio.get_running_loop()
+        self._wallets: dict[str, _Wallet] = {}
+        self._waiting: dict[int, _Waiting] = {}
+        self._ahead: dict[int, _Wallet] = {}
+        self._number = 0
+        self._epoch = 0
+
+    def configure(self, tenants: Iterable[Tenant]) -> None:
+        """Follow a configuration."""
+        wallets = {}
+        for tenant in tenants:
+            if tenant.limited:
+                wallet = self._wallets.get(tenant.name) or _Wallet(tenant)
+                if wallet.tenant.rate != tenant.rate:
+                    wallet.fallback, wallet.balance = None, min(wallet.balance, tenant.rate * AHEAD_S)
+                wallet.tenant = tenant
+                wallets[tenant.name] = wallet
+        self._wallets = wallets
+
+    def take(self, tenant: Tenant, cost: float, decided: Callable[[float | None], None]) -> None:
+        """Take the cost of a request. `decided` gets None, or the seconds after which there may be enough."""
+        wallet = self._wallets.get(tenant.name)
+        if wallet is None:
+            decided(None)
+            return
+        now = self._loop.time()
+        wallet.note(cost, now)
+        if now >= wallet.void_at:
+            wallet.balance = 0.0
+        if wallet.balance >= cost:
+            wallet.balance -= cost
+            decided(None)
+            self._borrow_ahead(wallet, cost)
+        elif now < wallet.denied_until:
+            decided(wallet.denied_until - now)
+        else:
+            self._borrow(wallet, cost, decided)
+
+    def _borrow(self, wallet: _Wallet, cost: float, decided: Callable[[float | None], None]) -> None:
+        need = cost - wallet.balance
+        want = need + wallet.demand * AHEAD_S
+        number = self._ask(wallet, need, want)
+        if number is None:
+            self._fall_back(wallet, cost, decided)
+            return
+        waiting = _Waiting(wallet, cost, decided)
+        waiting.timer = self._loop.call_later(ASK_S, self._unanswered, number)
+        self._waiting[number] = waiting
+
+    def _borrow_ahead(self, wallet: _Wallet, cost: float) -> None:
+        want = wallet.demand * AHEAD_S
+        if wallet.balance < max(cost, want / 2) and not any(w is wallet for w in self._ahead.values()):
+            number = self._ask(wallet, cost, max(cost, want))
+            if number is not None:
+                self._ahead[number] = wallet
+                self._loop.call_later(LOAN_S, self._ahead.pop, number, None)
+
+    def _ask(self, wallet: _Wallet, need: float, want: float) -> int | None:
+        self._number += 1
+        asked = self._lender.ask(TokenRequest(self._number, wallet.tenant.name, need, want))
+        return self._number if asked else None
+
+    def granted(self, grant: TokenGrant) -> None:
+        """The keeper has answered. One of an epoch that is over acts no more."""
+        waiting, ahead = self._waiting.pop(grant.number, None), self._ahead.pop(grant.number, None)
+        wallet = waiting.wallet if waiting is not None else ahead
+        if wallet is None:
+            return
+        if waiting is not None and waiting.timer is not None:
+            waiting.timer.cancel()
+        now = self._loop.time()
+        if grant.epoch < self._epoch or grant.epoch == 0:
+            if waiting is not None:
+                self._fall_back(wallet, waiting.cost, waiting.decided)
+            return
+        self._epoch = grant.epoch
+        if grant.granted > 0:
+            wallet.balance += grant.granted
+            wallet.void_at = now + LOAN_S
+        else:
+            wallet.denied_until = now + min(grant.retry_after_s, DENIED_MOST_S) / 4
+        if waiting is not None:
+            self._decide(waiting, grant.retry_after_s)
+
+    def _decide(self, waiting: _Waiting, retry_after: float) -> None:
+        wallet = waiting.wallet
+        if wallet.balance >= waiting.cost:
+            wallet.balance -= waiting.cost
+            waiting.decided(None)
+        else:
+            waiting.decided(max(retry_after, 0.05))
+
+    def _unanswered(self, number: int) -> None:
+        waiting = self._waiting.pop(number, None)
+        if waiting is not None:
+            self._fall_back(waiting.wallet, waiting.cost, waiting.decided)
+
+    def _fall_back(self, wallet: _Wallet, cost: float, decided: Callable[[float | None], None]) -> None:
+        """Without a keeper: of the quota, one equal share of all routers."""
+        now = self._loop.time()
+        routers = max(1, self._lender.routers())
+        rate, burst = wallet.tenant.rate / routers, max(wallet.tenant.burst / routers, 2 * cost)
+        if wallet.fallback is None:
+            wallet.fallback = Bucket(rate, burst, cost, now)
+        wallet.fallback.rate, wallet.fallback.burst = rate, burst
+        wallet.fallback.refill(now)
+        if wallet.fallback.take(cost, cost):
+            decided(None)
+        else:
+            decided(min(wallet.fallback.wait_for(cost), DENIED_MOST_S))
--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -547,6 +547,8 @@
             return False
         if not job.suspects:
             return True
+        if 0 < job.kind.max_runs <= len(job.suspects):
+            return False
         if job.kind.effect is api.Effect.UNSAFE or (job.is_open and not self.settings.may_duplicate):
             return False
         if job.kind.effect is api.Effect.SAFE:
@@ -640,7 +642,7 @@
             **{api.Note: self.on_note, api.WorkerList: self.on_list, api.Shares: self.on_shares},
             **{api.ClientGone: self.on_client_gone, api.StreamStarted: self.on_stream},
             **{api.Verdict: self.on_verdict, api.Allowance: self.on_allowance},
-            **{api.CommonClock: self.on_clock},
+            **{api.CommonClock: self.on_clock, api.ClassesAdded: self.on_classes},
         }
 
     def step(self, now_ms: float, events: Iterable[api.Event]) -> list[api.Action]:
@@ -717,6 +719,7 @@
             return
         again = not job.suspects or job.kind.effect is not api.Effect.UNSAFE
         again &= self.now < job.useful_until and job.attempts < self.settings.max_attempts
+        again &= not 0 < job.kind.max_runs <= len(job.suspects)
         if again and self.take((api.RETRIES,)):
             self.hold(job)
         else:
@@ -817,6 +820,13 @@
             table.no_turn_before, table.turn = self.now + 2 * self.settings.fall_ms, -1
         table.ahead_ms = event.ahead_ms
 
+    def on_classes(self, event: api.ClassesAdded) -> None:
+        """Jobs of further classes will come."""
+        classes = (*self.settings.classes, *event.classes)
+        self.settings = self.table.settings = self.ledger.settings = replace(self.settings, classes=classes)
+        self.grace += [0.0] * len(event.classes)
+        self.late_worth = any(k.late_worth for k in classes)
+
     def on_verdict(self, event: api.Verdict) -> None:
         """What all dispatchers together hold of a worker. One that is given back counts as new."""
         key, w = (event.worker, event.job_class), self.table.workers.get(event.worker)
--- a/spoolpier/interface.py
+++ b/spoolpier/interface.py
@@ -88,6 +88,7 @@
     kind: int = -1
     priority: int = 0
     streamed: bool = False
+    max_runs: int = 0  # attempts of a job that may have run, at most; 0: as many as attempts
 
 
 @dataclass(frozen=True, slots=True)
@@ -311,6 +312,13 @@
     worth: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class ClassesAdded:
+    """Further classes of jobs, numbered behind those that are known."""
+
+    classes: tuple[JobClass, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ClientGone:
     """The client has left: nothing more is owed for the job."""
@@ -344,6 +352,7 @@
     | CommonClock
     | Verdict
     | Allowance
+    | ClassesAdded
     | ClientGone
     | Timer
     | PeerMessage
--- /dev/null
+++ b/tests/cluster/test_chain.py
@@ -0,0 +1,173 @@
+"""The chain and its agreed view, on simulated time."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from pebbledrift.control.orders import Verdict
+from tests.cluster.simulation import Cluster, change
+
+THREE = ("a:1", "b:1", "c:1")
+
+
+def verdict(call: object) -> int | None:
+    judgement = getattr(call, "judgement")  # noqa: B009
+    return None if judgement is None else judgement.verdict
+
+
+def test_a_change_is_taken_at_any_keeper() -> None:
+    cluster = Cluster(THREE)
+    cluster.run(1.0)
+    for number, address in enumerate(THREE, start=1):
+        call = cluster.order(address, change(number, number - 1))
+        cluster.run(0.3)
+        assert verdict(call) == Verdict.TAKEN
+    assert {r.log.state.revision for r in cluster.replicas.values()} == {3}
+
+
+def test_the_same_change_again_is_taken_and_another_conflicts() -> None:
+    cluster = Cluster(THREE)
+    cluster.run(1.0)
+    cluster.order("a:1", change(5, 0))
+    cluster.run(0.3)
+    again, other = cluster.order("b:1", change(5, 0)), cluster.order("c:1", change(6, 0, "other"))
+    cluster.run(0.3)
+    assert verdict(again) in (Verdict.TAKEN, Verdict.TAKEN_BEFORE)
+    assert verdict(other) == Verdict.CONFLICT
+
+
+@pytest.mark.parametrize("lost", THREE)
+def test_a_member_that_loses_its_disk_gets_all_again(lost: str) -> None:
+    cluster = Cluster(THREE)
+    cluster.run(1.0)
+    cluster.order("a:1", change(1, 0))
+    cluster.run(0.3)
+    cluster.wipe(lost)
+    cluster.run(0.5)
+    cluster.start(lost)
+    cluster.run(4.0)
+    cluster.check_kept(lost)
+    view = cluster.replicas[lost].agreement.view
+    assert view is not None and len(view.members) == 3 and len(view.chain) == 3 and not view.previous
+
+
+def test_a_replaced_member_leaves_the_view() -> None:
+    cluster = Cluster(THREE)
+    cluster.run(1.0)
+    cluster.order("a:1", change(1, 0))
+    cluster.run(0.3)
+    cluster.wipe("b:1")
+    cluster.run(1.0)
+    cluster.start("d:1")
+    cluster.run(4.0)
+    view = cluster.replicas["a:1"].agreement.view
+    assert view is not None
+    assert {node.partition("/")[0] for node in view.members} == {"a:1", "c:1", "d:1"}
+    cluster.kill("a:1")
+    cluster.run(2.0)
+    call = cluster.order("d:1", change(2, 1))
+    cluster.run(1.0)
+    assert verdict(call) == Verdict.TAKEN
+
+
+def test_all_are_killed_and_come_back() -> None:
+    cluster = Cluster(THREE)
+    cluster.run(1.0)
+    cluster.order("a:1", change(1, 0))
+    cluster.run(0.3)
+    for address in THREE:
+        cluster.kill(address, power=True)
+    for address in THREE:
+        cluster.start(address)
+    cluster.run(2.0)
+    cluster.check_kept("c:1")
+    call = cluster.order("b:1", change(2, 1))
+    cluster.run(0.5)
+    assert verdict(call) == Verdict.TAKEN
+
+
+def test_a_stalled_disk_leaves_the_chain() -> None:
+    cluster = Cluster(THREE)
+    cluster.run(1.0)
+    cluster.disks["b:1"].stalled_until = cluster.now + 5.0
+    call = cluster.order("a:1", change(1, 0))
+    cluster.run(2.0)
+    assert verdict(call) == Verdict.TAKEN
+    cluster.run(6.0)
+    assert cluster.replicas["b:1"].log.state.revision == 1
+    view = cluster.replicas["b:1"].agreement.view
+    assert view is not None and len(view.chain) == 3
+
+
+def test_a_stale_member_and_an_empty_one_decide_nothing() -> None:
+    cluster = Cluster(THREE)
+    cluster.run(1.0)
+    cluster.cut_off("a:1")
+    cluster.run(1.5)
+    taken = cluster.order("b:1", change(1, 0))
+    cluster.run(1.0)
+    assert verdict(taken) == Verdict.TAKEN
+    cluster.wipe("b:1")
+    cluster.kill("c:1", power=True)
+    cluster.heal()
+    cluster.start("b:1")
+    cluster.run(3.0)
+    stale, read = cluster.order("a:1", change(9, 0)), cluster.order("b:1", None)
+    cluster.run(4.0)
+    assert verdict(stale) is None and verdict(read) is None
+    cluster.start("c:1")
+    cluster.run(4.0)
+    cluster.check_kept("a:1")
+    cluster.check_kept("b:1")
+
+
+@pytest.mark.parametrize("seed", range(16))
+def test_what_is_acknowledged_stays_under_random_trouble(seed: int) -> None:
+    """One machine at a time is lost, killed, cut or stalled while orders go in everywhere."""
+    rng = random.Random(seed)
+    cluster = Cluster(THREE, seed)
+    cluster.run(1.0)
+    revision = 0
+    for _ in range(25):
+        trouble, victim = rng.choice(("kill", "power", "wipe", "cut", "stall", "loss", "none")), rng.choice(THREE)
+        if trouble == "kill":
+            cluster.kill(victim)
+        elif trouble == "power":
+            cluster.kill(victim, power=True)
+        elif trouble == "wipe":
+            cluster.wipe(victim)
+        elif trouble == "cut":
+            cluster.cut_off(victim, rng.sample(THREE, rng.choice((1, 2, 3))))
+        elif trouble == "stall":
+            cluster.disks[victim].stalled_until = cluster.now + rng.uniform(0.2, 3.0)
+        elif trouble == "loss":
+            cluster.loss = 0.2
+        for _ in range(rng.randrange(6)):
+            base = max((r.log.state.revision for r in cluster.replicas.values()), default=0)
+            revision = max(revision, base) + rng.randrange(1, 3)
+            for at in rng.sample(THREE, rng.choice((1, 1, 2))):
+                cluster.order(at, change(revision, base, rng.random()))
+            cluster.run(rng.choice((0.0, 0.001, 0.01, 0.3)))
+        cluster.run(rng.uniform(0.0, 3.0))
+        if rng.random() < 0.1:
+            for address in THREE:
+                cluster.kill(address, power=True)
+        cluster.heal()
+        cluster.loss = 0.0
+        for address in THREE:
+            if address not in cluster.replicas:
+                cluster.start(address)
+        cluster.run(rng.uniform(5.0, 7.0))
+        for address in THREE:
+            cluster.check_kept(address)
+    accepted = [order.base for order in set(cluster.acknowledged())]
+    assert len(accepted) == len(set(accepted)), "two changes on one base"
+    assert len(accepted) > 10
+    refused = [c for c in cluster.calls if c.judgement and c.judgement.verdict == Verdict.CONFLICT]
+    kept = cluster.replicas["a:1"].log.state.taken
+    assert not [c for c in refused if c.order and c.order.digest in kept], "refused and in force"
+    final = cluster.order("b:1", None)
+    cluster.run(1.0)
+    assert final.revision == max(kept.values())
