--- a/pebbledrift/net/http.py
+++ b/pebbledrift/net/http.py
@@ -226,8 +226,8 @@
         connection = {w.strip() for w in headers.get("connection", "").lower().split(",")}
         keep = "close" not in connection and (version == "HTTP/1.1" or "keep-alive" in connection)
         self.message = Message(first, second, headers, keep)
-        self.ended = False
         self._framing(self.message)
+        self.ended = self.mode == "head"  # there is no body
         return self.message
 
     def _start(self, line: str) -> tuple[str, str, str]:
--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -123,9 +123,10 @@
     def _out_of_time(self) -> None:
         if self._over:
             return
-        if self._attempt is not None:
-            self._attempt.cancel()
-            self._may_have_run = self._may_have_run or self._attempt.written
+        attempt = self._attempt
+        if attempt is not None:
+            self._may_have_run = self._may_have_run or attempt.written
+            attempt.cancel()
         if self._head_sent:
             self._abort()
         elif self._may_have_run:
