--- a/pebbledrift/cluster/roles.py
+++ b/pebbledrift/cluster/roles.py
@@ -36,7 +36,7 @@
     path = os.environ.get(boot.VARIABLE, boot.DEFAULT_PATH)
     try:
         settings = boot.load(path)
-        logs.setup(os.environ.get("PEBBLEDRIFT_LOG", "warning"), node=settings.name)
+        logs.setup(os.environ.get("PEBBLEDRIFT_LOG", "info"), node=settings.name)
         asyncio.run(ROLES[role](settings, lambda: boot.load(path)))
     except BootError as error:
         print(f"pebbledrift {role}: {error}", file=sys.stderr)
--- a/pebbledrift/keeper/service.py
+++ b/pebbledrift/keeper/service.py
@@ -131,7 +131,9 @@
         api.prepare()
         threading.Thread(target=api.serve, name="control", daemon=True).start()
         ticking = self.loop.create_task(self._tick())
+        log.info("serving", extra={"replica": self.replica.settings.node})
         await self._stopping.wait()
+        log.info("leaving")
         self.replica.leaving = True
         await asyncio.sleep(LEAVE_S)
         threading.Thread(target=api.stop, name="stop", daemon=True).start()
@@ -225,6 +227,8 @@
         news = (state.epoch, state.head, state.current, state.committed, state.complete, state.keepers)
         if news == self._told and now < self._state_at:
             return
+        if self._told[:3] != news[:3]:
+            log.info("standing", extra={"epoch": state.epoch, "head": state.head, "current": state.current})
         self._told, self._state_at = news, now + STATE_S
         self.network.send_routers(state)
 
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -52,6 +52,7 @@
         self._number = 0
         self._stopping = asyncio.Event()
         self._closing = False
+        self._was_started = False
         self._mismatched: dict[str, None] = {}
 
     async def run(self) -> None:
@@ -66,6 +67,7 @@
         )
         ready = await readiness.serve(self.boot.address_of("readiness"), self.limits, self._ready)
         sweeping = self.loop.create_task(self._sweep())
+        log.info("listening")
         await self._stopping.wait()
         await self._drain(front)
         sweeping.cancel()
@@ -102,6 +104,13 @@
         return not self._closing and self._started()
 
     def _started(self) -> bool:
+        if not self._was_started:
+            self._was_started = self._has_all()
+            if self._was_started:
+                log.info("started", extra={"revision": self.control.log.state.revision})
+        return self._was_started
+
+    def _has_all(self) -> bool:
         return self.table is not None and self.control.config_current and self.control.workers_known
 
     # what the keepers tell
