--- a/pebbledrift/chain/log.py
+++ b/pebbledrift/chain/log.py
@@ -15,11 +15,15 @@
     """The program is wrong: going on could lose what was acknowledged."""
 
 
+def unchecked(config: object) -> None:
+    """Orders in the log were checked when they were judged."""
+
+
 class ReplicatedLog:
     """Entries in sequence. Those up to `committed` are applied to `state` and never change again."""
 
-    def __init__(self, check: Check) -> None:
-        self.state = ConfigurationState(check)
+    def __init__(self) -> None:
+        self.state = ConfigurationState(unchecked)
         self.committed: Stamp = NO_STAMP
         self.base: Stamp = NO_STAMP  # the entry before the first that is kept
         self.entries: list[Entry] = []
@@ -99,9 +103,9 @@
         for entry in entries:
             self.append(entry)
 
-    def speculative(self) -> ConfigurationState:
-        """The state with all entries, committed or not."""
-        state = self.state.copy()
+    def speculative(self, check: Check) -> ConfigurationState:
+        """The state with all entries, committed or not; orders that follow are checked."""
+        state = self.state.copy(check)
         for entry in self.after(self.committed.sequence):
             if entry.order is not None:
                 state.apply(entry.order)
--- a/pebbledrift/chain/replica.py
+++ b/pebbledrift/chain/replica.py
@@ -65,7 +65,7 @@
         self.settings = settings
         self.outbox = Outbox(settings.address)
         self.outbox.now = now
-        self.log = ReplicatedLog(check)
+        self.log = ReplicatedLog()
         if stored.snapshot is not None:
             self.log.restore(stored.snapshot)
         for entry in stored.entries:
@@ -81,7 +81,7 @@
         self.link = ChainLink(
             self.agreement, self.log, self.outbox, self._on_commit, self._announce, self._answer_barrier
         )
-        self.desk = RequestDesk(self.agreement, self.link, self.log, self.outbox)
+        self.desk = RequestDesk(self.agreement, self.link, self.log, self.outbox, check)
         known = [address_of(node) for node in stored.view.voters] if stored.view else []
         self.peers = PeerTable(settings.address, [*settings.contacts, *known])
         self.agreement.restore(stored.view, stored.vote)
@@ -137,6 +137,10 @@
         self.outbox.now = now
         self.desk.call(order, now, longest, done)
 
+    def connection_opened(self, address: str, now: float) -> None:
+        """Another keeper can be reached: it need not wait to hear of us."""
+        self.outbox.send(address, self._own_heartbeat(now))
+
     def connection_lost(self, address: str) -> None:
         """Messages from an address may have been lost."""
         view = self.agreement.view
--- a/pebbledrift/chain/requests.py
+++ b/pebbledrift/chain/requests.py
@@ -11,7 +11,7 @@
 from pebbledrift.chain.messages import Answer, Barrier, NotHead, Submit
 from pebbledrift.chain.outbox import Outbox
 from pebbledrift.chain.view import address_of
-from pebbledrift.control.orders import ConfigurationState, Judgement, Order, Verdict
+from pebbledrift.control.orders import Check, ConfigurationState, Judgement, Order, Verdict
 
 AGAIN_S = 0.4  # a call without an answer is handed to the head again
 PENDING_MOST = 256
@@ -33,8 +33,11 @@
 class RequestDesk:
     """The calls made at this keeper, and the judging of all calls where this keeper is the head."""
 
-    def __init__(self, agreement: Agreement, link: ChainLink, log: ReplicatedLog, outbox: Outbox) -> None:
+    def __init__(
+        self, agreement: Agreement, link: ChainLink, log: ReplicatedLog, outbox: Outbox, check: Check
+    ) -> None:
         self.agreement, self.link, self.log, self.outbox = agreement, link, log, outbox
+        self._check = check
         self._pending: dict[int, PendingCall] = {}
         self._number = 0
         self._state: ConfigurationState | None = None  # with all entries; at the head only
@@ -113,7 +116,7 @@
             self.link.start_barrier(message.request, message.origin, None)
             return
         if self._state is None:
-            self._state = self.log.speculative()
+            self._state = self.log.speculative(self._check)
         judgement = self._state.apply(message.order)
         if judgement.verdict == Verdict.TAKEN:
             self.link.append(message.order)
--- /dev/null
+++ b/pebbledrift/chain/slots.py
@@ -0,0 +1,120 @@
+"""Two files written in turn: the older one is written over, so that one whole value is there at any moment."""
+
+from __future__ import annotations
+
+import os
+import struct
+import zlib
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+from pebbledrift.cluster import codec
+from pebbledrift.cluster.errors import MessageError
+
+MAGIC = b"PBD1"
+HEADER = struct.Struct(">4sQ")  # magic, generation
+BLOCK = struct.Struct(">II")  # length, checksum
+SLOTS = ("a", "b")
+
+
+def header(generation: int) -> bytes:
+    """What a file of this generation begins with."""
+    return HEADER.pack(MAGIC, generation)
+
+
+def generation_of(data: bytes) -> int | None:
+    """The generation that a file begins with."""
+    if len(data) < HEADER.size:
+        return None
+    magic, generation = HEADER.unpack_from(data)
+    return int(generation) if magic == MAGIC else None
+
+
+def block(value: Any, generation: int) -> bytes:
+    """A value behind its length and checksum; the checksum holds for one generation only."""
+    body = codec.encode(value)
+    return BLOCK.pack(len(body), zlib.crc32(body, generation & 0xFFFFFFFF)) + body
+
+
+def blocks(data: bytes, generation: int) -> Iterable[tuple[Any, int]]:
+    """The values of a file, each with where it ends, up to the first that is torn or damaged."""
+    position = HEADER.size
+    while position + BLOCK.size <= len(data):
+        size, checksum = BLOCK.unpack_from(data, position)
+        body = data[position + BLOCK.size : position + BLOCK.size + size]
+        if len(body) < size or zlib.crc32(body, generation & 0xFFFFFFFF) != checksum:
+            return
+        try:
+            value = codec.decode(body)
+        except MessageError:
+            return
+        position += BLOCK.size + size
+        yield value, position
+
+
+def read(path: Path) -> bytes:
+    """The bytes of a file; none where there is no file."""
+    try:
+        return path.read_bytes()
+    except FileNotFoundError:
+        return b""
+
+
+def write_all(descriptor: int, data: bytes, position: int) -> None:
+    """Write all bytes at a position."""
+    view = memoryview(data)
+    while view:
+        written = os.pwrite(descriptor, view, position)
+        position += written
+        view = view[written:]
+
+
+def sync_folder(folder: Path) -> None:
+    """Make the names in a folder last."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+class SlotPair:
+    """Two slots of one name in a folder."""
+
+    def __init__(self, folder: Path, name: str) -> None:
+        self.folder, self.name = folder, name
+        self.generation = 0  # of the newest whole slot; 0 before the first
+        self.bytes = 0  # its size
+
+    def path(self, generation: int) -> Path:
+        """The file of a generation."""
+        return self.folder / f"{self.name}-{SLOTS[generation % 2]}"
+
+    def newest(self) -> Any:
+        """The newest whole value, or None."""
+        value: Any = None
+        self.generation = 0
+        for number in range(len(SLOTS)):
+            data = read(self.path(number))
+            generation = generation_of(data)
+            if generation is None or (value is not None and generation < self.generation):
+                continue
+            found = next(iter(blocks(data, generation)), None)
+            if found is not None:
+                value, self.generation, self.bytes = found[0], generation, len(data)
+        return value
+
+    def write(self, value: Any) -> None:
+        """Write the other slot and sync it; raises OSError, and the present one stays."""
+        generation = self.generation + 1
+        data = header(generation) + block(value, generation)
+        descriptor = os.open(self.path(generation), os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            write_all(descriptor, data, 0)
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        if generation <= len(SLOTS):
+            sync_folder(self.folder)
+        self.generation, self.bytes = generation, len(data)
--- a/pebbledrift/control/orders.py
+++ b/pebbledrift/control/orders.py
@@ -154,9 +154,9 @@
                 del self.taken[next(iter(self.taken))]
         return judgement
 
-    def copy(self) -> ConfigurationState:
+    def copy(self, check: Check) -> ConfigurationState:
         """Another state that begins as this one; configurations are never changed in place."""
-        other = ConfigurationState(self._check)
+        other = ConfigurationState(check)
         other.config, other.taken = self.config, dict(self.taken)
         return other
 
--- a/pebbledrift/keeper/service.py
+++ b/pebbledrift/keeper/service.py
@@ -29,20 +29,27 @@
 from pebbledrift.control.orders import Judgement, Order
 from pebbledrift.control.quota import TokenBank, quotas_of
 from pebbledrift.control.registry import Instance
-from pebbledrift.control.schema import check
-from pebbledrift.keeper.api import ControlApi, make_server
 from pebbledrift.keeper.disk import DiskWriter
+from pebbledrift.keeper.instance_store import InstanceStore
 from pebbledrift.keeper.peers import KeeperNetwork
 from pebbledrift.keeper.workers import WorkerDesk
 
 log = logging.getLogger(__name__)
 
-TICK_S = 0.04
+TICK_S = 0.02
 STATE_S = 0.5  # between words to the routers on where we stand
 CALL_S = 3.8  # the operator's calls: an answer that comes later is not waited for
+CONTROL_WAIT_S = 0.5  # the control interface opens once a view is agreed on, or at the latest then
 LEAVE_S = 0.4  # after SIGTERM the others have so long to go on without us
 
 
+def _check(config: object) -> None:
+    """Check an operator's configuration. The checker is large: a start does not wait for its import."""
+    from pebbledrift.control.schema import check
+
+    check(config)
+
+
 class Keeper:
     """One keeper."""
 
@@ -59,7 +66,8 @@
         )
         self.network.from_router = self._from_router
         self.network.router_joined = self._router_joined
-        self.workers = WorkerDesk(self.network, boot.heartbeat_ms / 1000)
+        store = InstanceStore(self.storage.folder) if self.storage is not None else None
+        self.workers = WorkerDesk(self.network, boot.heartbeat_ms / 1000, store)
         self.bank = TokenBank()
         self._bank_epoch = 0
         self._state_at = 0.0
@@ -68,6 +76,7 @@
         self.replica.on_commit = self._on_commit
         self.disk = DiskWriter(self.storage, self._synced) if self.storage is not None else None
         self._stopping = asyncio.Event()
+        self._settled = threading.Event()
 
     # start
 
@@ -112,7 +121,7 @@
             contacts=tuple(founders),
             seed=self.incarnation,
         )
-        replica = Replica(settings, check, recovered.stored, self.loop.time())
+        replica = Replica(settings, _check, recovered.stored, self.loop.time())
         if fresh:
             view = recovered.stored.view
             replica.outbox.persist(Identity(recovered.node), *([view] if view is not None else []))
@@ -127,20 +136,24 @@
             self.loop.add_signal_handler(number, self._stopping.set)
         self.loop.add_signal_handler(signal.SIGHUP, lambda: None)
         server = await serve(self.internal, self.network)
-        api = make_server(self.boot.address_of("control"), ControlApi(self, self.loop))
-        api.prepare()
-        threading.Thread(target=api.serve, name="control", daemon=True).start()
         ticking = self.loop.create_task(self._tick())
+        threading.Thread(target=self._serve_control, name="control", daemon=True).start()
         log.info("serving", extra={"replica": self.replica.settings.node})
         await self._stopping.wait()
         log.info("leaving")
         self.replica.leaving = True
         await asyncio.sleep(LEAVE_S)
-        threading.Thread(target=api.stop, name="stop", daemon=True).start()
         ticking.cancel()
         server.close()
         self.network.close()
 
+    def _serve_control(self) -> None:
+        """The control interface, in threads of its own. It waits for what routers need first."""
+        self._settled.wait(CONTROL_WAIT_S)
+        from pebbledrift.keeper.api import ControlApi, make_server
+
+        make_server(self.boot.address_of("control"), ControlApi(self, self.loop)).safe_start()
+
     # the loop
 
     async def _tick(self) -> None:
@@ -181,6 +194,8 @@
             self.workers.from_keeper(sender, message)
 
     def _keeper_up(self, address: str) -> None:
+        self.replica.connection_opened(address, self.loop.time())
+        self._flush()
         self.network.send(address, self.workers.snapshot())
 
     def _keeper_lost(self, address: str) -> None:
@@ -227,6 +242,8 @@
         news = (state.epoch, state.head, state.current, state.committed, state.complete, state.keepers)
         if news == self._told and now < self._state_at:
             return
+        if state.current:
+            self._settled.set()
         if self._told[:3] != news[:3]:
             log.info("standing", extra={"epoch": state.epoch, "head": state.head, "current": state.current})
         self._told, self._state_at = news, now + STATE_S
--- a/pebbledrift/keeper/workers.py
+++ b/pebbledrift/keeper/workers.py
@@ -12,6 +12,7 @@
     NumberedNews,
 )
 from pebbledrift.control.registry import Instance, InstanceState, Registry, gone
+from pebbledrift.keeper.instance_store import InstanceStore
 from pebbledrift.keeper.peers import KeeperNetwork
 
 CONFIRM_S = 0.35  # another keeper has so long to confirm that a worker leaves
@@ -23,9 +24,11 @@
 class WorkerDesk:
     """Takes heartbeats in and passes on what is new."""
 
-    def __init__(self, network: KeeperNetwork, heartbeat_s: float) -> None:
+    def __init__(self, network: KeeperNetwork, heartbeat_s: float, store: InstanceStore | None) -> None:
         self.registry = Registry()
         self._network = network
+        self._store = store
+        self._changed = False
         self._loop = asyncio.get_running_loop()
         self._complete_at = self._loop.time() + COMPLETE_AFTER_BEATS * heartbeat_s
         self._complete = False
@@ -33,6 +36,14 @@
         self._beats_at = self._loop.time()
         self._number = 0
         self._unconfirmed: dict[int, asyncio.Future[None]] = {}
+        if store is not None:
+            self._recall(store.load())
+
+    def _recall(self, instances: tuple[Instance, ...]) -> None:
+        """Begin with the instances that were known before a restart."""
+        for instance in instances:
+            self.registry.merge(instance, self._loop.time())
+        self._complete = bool(self.registry.instances)
 
     @property
     def complete(self) -> bool:
@@ -58,6 +69,7 @@
 
     async def _tell(self, news: Instance) -> None:
         """Tell routers and keepers; that a worker leaves is known to another keeper before this returns."""
+        self._changed = True
         self._network.send_routers(InstanceNews((news,)))
         if news.state == InstanceState.READY:
             self._network.send_keepers(InstanceNews((news,)))
@@ -103,6 +115,7 @@
         merged = [self.registry.merge(instance, now) for instance in instances]
         news = tuple(instance for instance in merged if instance is not None)
         if news:
+            self._changed = True
             self._network.send_routers(InstanceNews(news))
 
     def snapshot(self) -> InstanceSnapshot:
@@ -117,4 +130,7 @@
         if self._beats:
             self._network.send_keepers(InstanceBeats(tuple(self._beats.items())))
             self._beats = {}
+        if self._changed and self._store is not None:
+            self._changed = False
+            self._store.save(self.registry.snapshot())
         self.registry.forget(self.registry.silent(now, FORGET_AFTER_S))
--- a/pebbledrift/router/control.py
+++ b/pebbledrift/router/control.py
@@ -26,10 +26,6 @@
 KEEPERS_MOST = 9
 
 
-def _unchecked(config: object) -> None:
-    """Committed configurations have been checked."""
-
-
 class ControlClient:
     """Connections to the keepers, and what they have told."""
 
@@ -45,7 +41,7 @@
         self._boot = boot
         self._incarnation = incarnation
         self._configured, self._instances_changed, self._granted = configured, instances_changed, granted
-        self.log = ReplicatedLog(_unchecked)
+        self.log = ReplicatedLog()
         self.registry = Registry()
         self.workers_known = False
         self.config_current = False  # ours was as new as any in force, once at least since the start
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -28,7 +28,7 @@
 log = logging.getLogger(__name__)
 
 SWEEP_S = 0.5
-STARTUP_RETRY_S = "0.2"  # Retry-After while the configuration is not known
+STARTUP_RETRY_S = "0.25"  # Retry-After while the configuration is not known
 CLOSE_BEFORE_GRACE_S = 0.7  # what is still open so long before the end of the grace is given up
 BACKLOG = 1024
 
