--- a/pebbledrift/chain/link.py
+++ b/pebbledrift/chain/link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from pebbledrift.chain.agreement import Agreement
 from pebbledrift.chain.log import ReplicatedLog
@@ -242,18 +243,19 @@
 
     def start_barrier(self, request: int, origin: str, judgement: Judgement | None) -> None:
         """At the head: let a verdict or a read run down the chain, behind all entries so far."""
-        self.on_barrier(Barrier(self.epoch, self.log.last.sequence, request, origin, judgement))
+        self.on_barrier(Barrier(self.epoch, 0, self.log.last.sequence, request, origin, judgement))
 
     def on_barrier(self, barrier: Barrier) -> None:
         """Pass a barrier on, or answer it at the tail; who has left the epoch does neither."""
-        if barrier.epoch != self.epoch or not self.active:
+        if barrier.epoch != self.epoch or barrier.position != self.position or not self.active:
             return
         if self.is_tail:
             self._end_barrier(barrier)
             return
         successor = self._neighbour(1)
         if successor is not None:
-            self.outbox.send(address_of(successor), barrier)
+            following = replace(barrier, position=barrier.position + 1)
+            self.outbox.send(address_of(successor), following)
 
     def _end_barrier(self, barrier: Barrier) -> None:
         if self.log.committed.sequence >= barrier.after:
--- a/pebbledrift/chain/messages.py
+++ b/pebbledrift/chain/messages.py
@@ -162,6 +162,7 @@
     """Runs down the chain behind the entries before it; the tail answers for it."""
 
     epoch: int
+    position: int  # in the chain, of whom it is for
     after: int
     request: int
     origin: str
--- a/pebbledrift/chain/peers.py
+++ b/pebbledrift/chain/peers.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from pebbledrift.chain.messages import Heartbeat
+from pebbledrift.chain.view import address_of
 
 ALIVE_S = 0.8  # a keeper that was not heard for so long is taken to be down
 FORGET_S = 30.0
@@ -31,6 +32,8 @@
 
     def heard(self, address: str, heartbeat: Heartbeat, now: float) -> None:
         """Take in a heartbeat."""
+        for node in [n for n in self.peers if n != heartbeat.node and address_of(n) == address]:
+            del self.peers[node]  # its disk is lost: another replica has the address
         known = self.peers.get(heartbeat.node)
         restarted = known is None or known.heartbeat.incarnation != heartbeat.incarnation
         if known is None or restarted or now - known.heard > ALIVE_S:
--- a/tests/cluster/test_chain.py
+++ b/tests/cluster/test_chain.py
@@ -171,3 +171,18 @@
     final = cluster.order("b:1", None)
     cluster.run(1.0)
     assert final.revision == max(kept.values())
+
+
+def test_a_lost_disk_and_its_successor_are_never_in_one_chain() -> None:
+    """The new replica is heard while the old one, at the same address, still counts as alive."""
+    cluster = Cluster(THREE)
+    cluster.run(1.0)
+    cluster.wipe("c:1")
+    cluster.start("c:1")
+    for _ in range(200):
+        cluster.run(0.01)
+        for replica in cluster.replicas.values():
+            view = replica.agreement.view
+            assert view is not None
+            addresses = [member.node.partition("/")[0] for member in view.chain]
+            assert len(addresses) == len(set(addresses))
