--- a/pebbledrift/control/quota.py
+++ b/pebbledrift/control/quota.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-UNCONNECTED_SHARE_MOST = 0.9
+LEAST_BURST_S = 0.25
 
 
 @dataclass(slots=True)
@@ -21,11 +21,11 @@
     def refill(self, now: float, share: float = 1.0) -> None:
         """Count the time since the last call."""
         grown = self.level + max(0.0, now - self.at) * self.rate * share
-        self.level, self.at = min(grown, max(self.burst, self.rate)), max(now, self.at)
+        self.level, self.at = min(grown, self.burst), max(now, self.at)
 
     def take(self, need: float, want: float) -> float:
         """Take what is wanted, or at least what is needed; 0 where there is not even that."""
-        if self.level < min(need, max(self.burst, self.rate)):
+        if self.level < min(need, self.burst):
             return 0.0
         taken = max(need, min(want, self.level))
         self.level -= taken
@@ -59,6 +59,11 @@
     return found
 
 
+def _burst(quota: TenantQuota) -> float:
+    """What may be saved up: without a burst, a part of a second's rate, or nothing large would ever pass."""
+    return max(quota.burst, LEAST_BURST_S * quota.rate)
+
+
 class TokenBank:
     """The buckets of all tenants. A bank begins empty: others may have lent all there was just before."""
 
@@ -75,11 +80,11 @@
         for quota in quotas:
             known = self._buckets.get(quota.name)
             if known is None:
-                known = Bucket(quota.rate, quota.burst, 0.0, now)
+                known = Bucket(quota.rate, _burst(quota), 0.0, now)
             else:
                 known.refill(now)
-                known.rate, known.burst = quota.rate, quota.burst
-                known.level = min(known.level, max(quota.burst, quota.rate))
+                known.rate, known.burst = quota.rate, _burst(quota)
+                known.level = min(known.level, known.burst)
             buckets[quota.name] = known
         self._buckets = buckets
 
--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -14,7 +14,7 @@
 from pebbledrift.router import request as heads
 from pebbledrift.router.client import HOP_BY_HOP, ClientConnection
 from pebbledrift.router.events import EventCutter, EventTooLong
-from pebbledrift.router.placement import Placement
+from pebbledrift.router.pools import WorkerPools
 from pebbledrift.router.retries import RetryBudget
 from pebbledrift.router.routes import PRIORITY_MOST, Route, Tenant
 from pebbledrift.router.upstream import Ending, Exchange, WorkerPool
@@ -52,6 +52,7 @@
     strip_key: bool
     deadline: float  # loop time
     key: int | None
+    prompt_tokens: float | None
 
 
 class RequestFlow:
@@ -61,13 +62,14 @@
         self,
         admitted: Admitted,
         client: ClientConnection,
-        placement: Placement,
+        pools: WorkerPools,
         pool: WorkerPool,
         budget: RetryBudget,
         state: RouterState,
     ) -> None:
         self.admitted, self.client = admitted, client
-        self._placement, self._pool, self._budget, self._state = placement, pool, budget, state
+        self._pools, self._pool, self._budget, self._state = pools, pool, budget, state
+        self._placement = pools.choose(admitted.prompt_tokens, state.routers())
         self._loop = asyncio.get_running_loop()
         self._attempt: Attempt | None = None
         self._over = False
@@ -79,6 +81,7 @@
 
     def submit(self) -> None:
         """Let the module place the request."""
+        self._pools.began(self._placement)
         self._budget.note_request(self._loop.time())
         left_ms = max(1.0, (self.admitted.deadline - self._loop.time()) * 1000.0)
         self._placement.submit(self.admitted.name, self, self.admitted.route, self.admitted.key, left_ms)
@@ -154,6 +157,7 @@
     def _end(self) -> None:
         self._over = True
         self._timer.cancel()
+        self._pools.ended(self._placement)
         self._placement.end(self.admitted.name)
 
     def _finish_with(self, status: int, headers: Mapping[str, str], body: bytes) -> None:
--- /dev/null
+++ b/pebbledrift/router/pools.py
@@ -0,0 +1,118 @@
+"""Workers of one service divided between long prompts and streams that run long.
+
+Reading a long prompt holds up the tokens of all that run beside it. A model service therefore keeps some
+workers for requests with short prompts; which and how many follows from the traffic, alike at all routers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import math
+from collections.abc import Callable, Iterable
+
+from pebbledrift.control.registry import Instance, InstanceState
+from pebbledrift.router.placement import Placement
+
+SHORT_PROMPT_TOKENS = 1024  # read in about the time of one step: it holds nobody up
+SPARE = 1.5  # places kept for short prompts over those that are in use on average
+AVERAGE_S = 6.0  # the time over which running streams are averaged
+SEEN_S = 20.0  # a kind of request that did not come for so long needs no workers of its own
+SHRINK_BELOW = 0.7  # of a worker less is needed before one is given back
+
+
+class RunningAverage:
+    """The average number of requests that run here."""
+
+    def __init__(self, now: float) -> None:
+        self._running = 0
+        self._average = 0.0
+        self._at = now
+
+    def change(self, step: int, now: float) -> None:
+        """A request began (1) or ended (-1)."""
+        self.value(now)
+        self._running += step
+
+    def value(self, now: float) -> float:
+        """The average now."""
+        fade = math.exp(-max(0.0, now - self._at) / AVERAGE_S)
+        self._average = self._average * fade + self._running * (1.0 - fade)
+        self._at = now
+        return self._average
+
+
+class WorkerPools:
+    """The placements of one service."""
+
+    def __init__(self, make: Callable[[], Placement], is_model: bool, slots: int) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._is_model, self._slots = is_model, max(1, slots)
+        self.long = make()
+        self.short = make() if is_model else self.long
+        self._instances: list[Instance] = []
+        self._running = RunningAverage(self._loop.time())
+        self._seen = {True: -math.inf, False: -math.inf}
+        self._short_workers = 0
+
+    def choose(self, prompt_tokens: float | None, routers: int) -> Placement:
+        """The placement for a request, by its prompt."""
+        if not self._is_model:
+            return self.long
+        short = prompt_tokens is not None and prompt_tokens <= SHORT_PROMPT_TOKENS
+        self._seen[short] = self._loop.time()
+        self._divide(routers)
+        return self.short if short else self.long
+
+    def began(self, placement: Placement) -> None:
+        """A request runs."""
+        if placement is self.short and self._is_model:
+            self._running.change(1, self._loop.time())
+
+    def ended(self, placement: Placement) -> None:
+        """A request has ended."""
+        if placement is self.short and self._is_model:
+            self._running.change(-1, self._loop.time())
+
+    def follow(self, instances: Iterable[Instance]) -> None:
+        """The workers as they are known now."""
+        self._instances = sorted(instances, key=lambda i: _rank(i.id))
+        self._tell()
+
+    def _ready(self) -> list[Instance]:
+        return [i for i in self._instances if i.state == InstanceState.READY]
+
+    def _divide(self, routers: int) -> None:
+        wanted = self._wanted(len(self._ready()), routers)
+        if wanted != self._short_workers:
+            self._short_workers = wanted
+            self._tell()
+
+    def _wanted(self, workers: int, routers: int) -> int:
+        now = self._loop.time()
+        short_seen, long_seen = (now - self._seen[kind] <= SEEN_S for kind in (True, False))
+        if not short_seen or not long_seen or workers < 2:
+            return 0
+        need = SPARE * self._running.value(now) * routers / self._slots
+        present = self._short_workers
+        if present - 1 < need + 1 - SHRINK_BELOW and need <= present:
+            return min(present, workers - 1) or 1
+        return max(1, min(workers - 1, math.ceil(need)))
+
+    def _tell(self) -> None:
+        if not self._is_model:
+            self.long.follow(self._instances)
+            return
+        ready = self._ready()
+        count = min(self._short_workers, max(0, len(ready) - 1))
+        if count == 0:
+            self.short.follow(ready)
+            self.long.follow(ready)
+        else:
+            self.short.follow(ready[:count])
+            self.long.follow(ready[count:])
+
+
+def _rank(instance: str) -> bytes:
+    """An order of the workers that all routers have alike."""
+    return hashlib.blake2b(instance.encode(), digest_size=8, person=b"short").digest()
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -20,8 +20,9 @@
 from pebbledrift.router.control import ControlClient
 from pebbledrift.router.flow import Admitted, RequestFlow
 from pebbledrift.router.placement import Placement
+from pebbledrift.router.pools import WorkerPools
 from pebbledrift.router.retries import RetryBudget
-from pebbledrift.router.routes import ClientLimits, Route, RoutingTable, Tenant
+from pebbledrift.router.routes import Backend, ClientLimits, Route, RoutingTable, Tenant
 from pebbledrift.router.tokens import TokenPurse
 from pebbledrift.router.upstream import WorkerPool
 
@@ -47,7 +48,7 @@
         )
         self.purse = TokenPurse(self)
         self.pool = WorkerPool(_upstream_limits())
-        self.placements: dict[str, Placement] = {}
+        self.pools: dict[str, WorkerPools] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self._number = 0
         self._stopping = asyncio.Event()
@@ -121,23 +122,28 @@
         self.purse.configure(table.tenants.values())
         bounds = self.boot.bounds
         for name, backend in table.backends.items():
-            if name not in self.placements:
-                self._number += 1
-                self.placements[name] = Placement(
-                    self.control.routers(), 0, backend.is_model, secrets.randbits(32)
-                )
+            if name not in self.pools:
+                self.pools[name] = self._make_pools(backend)
                 self.budgets[name] = RetryBudget(
                     bounds.retry_budget_ratio, bounds.budget_window_s, bounds.retry_budget_slack
                 )
         self._instances_changed()
 
+    def _make_pools(self, backend: Backend) -> WorkerPools:
+        routers = self.control.routers()
+
+        def make() -> Placement:
+            return Placement(routers, 0, backend.is_model, secrets.randbits(32))
+
+        return WorkerPools(make, backend.is_model, backend.slots)
+
     def _instances_changed(self) -> None:
-        by_backend: dict[str, list[Instance]] = {name: [] for name in self.placements}
+        by_backend: dict[str, list[Instance]] = {name: [] for name in self.pools}
         for instance in self.control.registry.instances.values():
             if instance.backend in by_backend and instance.id not in self._mismatched:
                 by_backend[instance.backend].append(instance)
         for name, instances in by_backend.items():
-            self.placements[name].follow(instances)
+            self.pools[name].follow(instances)
 
     def _granted(self, grant: Any) -> None:
         self.purse.granted(grant)
@@ -196,6 +202,7 @@
             strip_key=table.with_tenants,
             deadline=arrived + wait_ms / 1000.0,
             key=prompt.key() if prompt is not None else None,
+            prompt_tokens=None if prompt is None else prompt.tokens_in,
         )
         return self._admit(client, admitted, tenant, None if prompt is None else prompt.tokens)
 
@@ -227,11 +234,11 @@
 
     def _start(self, client: ClientConnection, admitted: Admitted) -> RequestFlow | None:
         name = self._backend(admitted.route, admitted.message)
-        placement = self.placements.get(name)
-        if placement is None:
+        pools = self.pools.get(name)
+        if pools is None:
             client.answer(503, {"Retry-After": STARTUP_RETRY_S}, b"")
             return None
-        flow = RequestFlow(admitted, client, placement, self.pool, self.budgets[name], self)
+        flow = RequestFlow(admitted, client, pools, self.pool, self.budgets[name], self)
         client.owner = flow
         flow.submit()
         return flow
--- a/pebbledrift/router/tokens.py
+++ b/pebbledrift/router/tokens.py
@@ -16,6 +16,7 @@
 AHEAD_S = 0.25  # of its own demand, a router borrows for so long ahead
 DEMAND_SHARE = 0.1  # weight of a new second in the demand
 DENIED_MOST_S = 1.0
+FALLBACK_IDLE_S = 0.7  # a fixed share that was not used for so long begins anew
 
 
 class Lender(Protocol):
@@ -162,10 +163,11 @@
         """Without a keeper: of the quota, one equal share of all routers."""
         now = self._loop.time()
         routers = max(1, self._lender.routers())
-        rate, burst = wallet.tenant.rate / routers, max(wallet.tenant.burst / routers, 2 * cost)
-        if wallet.fallback is None:
-            wallet.fallback = Bucket(rate, burst, cost, now)
-        wallet.fallback.rate, wallet.fallback.burst = rate, burst
+        rate = wallet.tenant.rate / routers
+        if wallet.fallback is None or now - wallet.fallback.at > FALLBACK_IDLE_S:
+            # nothing is saved up for it: the keeper that lent until now has lent all there was
+            wallet.fallback = Bucket(rate, cost, cost / 2, now)
+        wallet.fallback.rate, wallet.fallback.burst = rate, cost
         wallet.fallback.refill(now)
         if wallet.fallback.take(cost, cost):
             decided(None)
