--- a/pebbledrift/cluster/fleet_messages.py
+++ b/pebbledrift/cluster/fleet_messages.py
@@ -84,6 +84,7 @@
     tenant: str
     need: float
     want: float
+    urgent: bool
 
 
 @message(121)
--- a/pebbledrift/control/quota.py
+++ b/pebbledrift/control/quota.py
@@ -7,6 +7,8 @@
 from typing import Any
 
 LEAST_BURST_S = 0.25
+URGENT_SHARE = 0.3  # of a burst, kept for the most urgent requests
+FIRST_SHARE = 0.3  # of a burst, to begin with: others may have lent the rest just before
 
 
 @dataclass(slots=True)
@@ -18,16 +20,16 @@
     level: float
     at: float
 
-    def refill(self, now: float, share: float = 1.0) -> None:
+    def refill(self, now: float) -> None:
         """Count the time since the last call."""
-        grown = self.level + max(0.0, now - self.at) * self.rate * share
+        grown = self.level + max(0.0, now - self.at) * self.rate
         self.level, self.at = min(grown, self.burst), max(now, self.at)
 
-    def take(self, need: float, want: float) -> float:
-        """Take what is wanted, or at least what is needed; 0 where there is not even that."""
-        if self.level < min(need, self.burst):
+    def take(self, need: float, want: float, keep: float = 0.0) -> float:
+        """Take what is wanted, or at least what is needed; 0 where there is not even that beside `keep`."""
+        if self.level - keep < min(need, self.burst - keep):
             return 0.0
-        taken = max(need, min(want, self.level))
+        taken = max(need, min(want, self.level - keep))
         self.level -= taken
         return taken
 
@@ -65,7 +67,7 @@
 
 
 class TokenBank:
-    """The buckets of all tenants. A bank begins empty: others may have lent all there was just before."""
+    """The buckets of all tenants."""
 
     def __init__(self) -> None:
         self._buckets: dict[str, Bucket] = {}
@@ -80,7 +82,7 @@
         for quota in quotas:
             known = self._buckets.get(quota.name)
             if known is None:
-                known = Bucket(quota.rate, _burst(quota), 0.0, now)
+                known = Bucket(quota.rate, _burst(quota), FIRST_SHARE * _burst(quota), now)
             else:
                 known.refill(now)
                 known.rate, known.burst = quota.rate, _burst(quota)
@@ -88,11 +90,14 @@
             buckets[quota.name] = known
         self._buckets = buckets
 
-    def lend(self, tenant: str, need: float, want: float, now: float, share: float) -> tuple[float, float]:
-        """What is lent, and after how long there may be enough. `share`: of the rate that is ours to lend."""
+    def lend(
+        self, tenant: str, need: float, want: float, now: float, urgent: bool
+    ) -> tuple[float, float]:
+        """What is lent, and after how long there may be enough."""
         bucket = self._buckets.get(tenant)
         if bucket is None:
             return 0.0, 1.0
-        bucket.refill(now, share)
-        granted = bucket.take(need, want)
-        return granted, 0.0 if granted else bucket.wait_for(need)
+        bucket.refill(now)
+        keep = 0.0 if urgent else URGENT_SHARE * bucket.burst
+        granted = bucket.take(need, want, keep)
+        return granted, 0.0 if granted else bucket.wait_for(need + keep)
--- a/pebbledrift/keeper/service.py
+++ b/pebbledrift/keeper/service.py
@@ -70,6 +70,7 @@
         self.workers = WorkerDesk(self.network, boot.heartbeat_ms / 1000, store)
         self.bank = TokenBank()
         self._bank_epoch = 0
+        self._was_head = False
         self._state_at = 0.0
         self._told: tuple[Any, ...] = ()
         self._most_routers = 0
@@ -250,6 +251,11 @@
         self.network.send_routers(state)
 
     def _on_commit(self, entries: list[Entry]) -> None:
+        if self._bank_epoch != self.replica.link.epoch:
+            self._bank_epoch = self.replica.link.epoch
+            if not self._was_head:
+                self.bank.clear()
+        self._was_head = self.replica.link.is_head
         self.bank.configure(quotas_of(self.replica.log.state.config), self.loop.time())
         self._state_at = 0.0
         self._tell_state(self.loop.time())
@@ -260,11 +266,7 @@
         epoch = self.replica.link.epoch
         if not self.replica.link.is_head or not self.replica.established or not self.replica.current(now):
             return TokenGrant(request.number, 0, request.tenant, 0.0, 0.2)
-        if self._bank_epoch != epoch:
-            self._bank_epoch = epoch
-            self.bank.clear()
-            self.bank.configure(quotas_of(self.replica.log.state.config), now)
-        granted, wait = self.bank.lend(request.tenant, request.need, request.want, now, 1.0)
+        granted, wait = self.bank.lend(request.tenant, request.need, request.want, now, request.urgent)
         return TokenGrant(request.number, epoch, request.tenant, granted, wait)
 
     # the control interface
--- a/pebbledrift/router/placement.py
+++ b/pebbledrift/router/placement.py
@@ -47,7 +47,9 @@
 class Placement:
     """The requests of one service that have no final answer yet."""
 
-    def __init__(self, dispatchers: int, me: int, is_model: bool, seed: int) -> None:
+    def __init__(
+        self, dispatchers: int, me: int, is_model: bool, seed: int, first_limit: float = 1.0
+    ) -> None:
         self._loop = asyncio.get_running_loop()
         settings = api.Settings(
             classes=(NO_CLASS,),
@@ -57,6 +59,7 @@
             may_cancel=True,
             tells_start=is_model,
             max_retry_after_ms=RETRY_AFTER_MS,
+            first_limit=max(1.0, first_limit),
         )
         self._dispatcher = Dispatcher(settings, seed)
         self._classes: dict[api.JobClass, int] = {NO_CLASS: 0}
--- a/pebbledrift/router/pools.py
+++ b/pebbledrift/router/pools.py
@@ -15,6 +15,7 @@
 from pebbledrift.router.placement import Placement
 
 SHORT_PROMPT_TOKENS = 1024  # read in about the time of one step: it holds nobody up
+SHORT_SHARE = 1.5  # of its equal part of a worker's places a router uses at first, for short prompts
 SPARE = 1.5  # places kept for short prompts over those that are in use on average
 AVERAGE_S = 6.0  # the time over which running streams are averaged
 SEEN_S = 20.0  # a kind of request that did not come for so long needs no workers of its own
@@ -45,11 +46,14 @@
 class WorkerPools:
     """The placements of one service."""
 
-    def __init__(self, make: Callable[[], Placement], is_model: bool, slots: int) -> None:
+    def __init__(
+        self, make: Callable[[float], Placement], is_model: bool, slots: int, routers: int
+    ) -> None:
         self._loop = asyncio.get_running_loop()
         self._is_model, self._slots = is_model, max(1, slots)
-        self.long = make()
-        self.short = make() if is_model else self.long
+        self.long = make(1.0)
+        # streams run long: learning a limit from one at a time would take as long as many of them
+        self.short = make(SHORT_SHARE * self._slots / max(1, routers)) if is_model else self.long
         self._instances: list[Instance] = []
         self._running = RunningAverage(self._loop.time())
         self._seen = {True: -math.inf, False: -math.inf}
--- a/pebbledrift/router/routes.py
+++ b/pebbledrift/router/routes.py
@@ -101,6 +101,7 @@
             self.routes.setdefault(route.hostname, []).append(route)
         for routes in self.routes.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
+        self.most_urgent = min((r.priority for rs in self.routes.values() for r in rs), default=0)
         self.backends = {item["name"]: _backend(item) for item in config["backends"]}
         self.limits = _limits(config.get("limits") or {})
         self.with_tenants = config.get("tenants") is not None
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -132,10 +132,10 @@
     def _make_pools(self, backend: Backend) -> WorkerPools:
         routers = self.control.routers()
 
-        def make() -> Placement:
-            return Placement(routers, 0, backend.is_model, secrets.randbits(32))
+        def make(first_limit: float) -> Placement:
+            return Placement(routers, 0, backend.is_model, secrets.randbits(32), first_limit)
 
-        return WorkerPools(make, backend.is_model, backend.slots)
+        return WorkerPools(make, backend.is_model, backend.slots, routers)
 
     def _instances_changed(self) -> None:
         by_backend: dict[str, list[Instance]] = {name: [] for name in self.pools}
@@ -227,11 +227,15 @@
                 pending.gone = True
                 client.answer(429, {"Retry-After": f"{retry_after:.3f}"}, b"")
 
-        self.purse.take(tenant, tenant.cost(tokens), decided)
+        urgent = admitted.route.priority <= self._most_urgent()
+        self.purse.take(tenant, tenant.cost(tokens), urgent, decided)
         if pending.gone:
             return None
         return pending.flow or pending
 
+    def _most_urgent(self) -> int:
+        return self.table.most_urgent if self.table is not None else 0
+
     def _start(self, client: ClientConnection, admitted: Admitted) -> RequestFlow | None:
         name = self._backend(admitted.route, admitted.message)
         pools = self.pools.get(name)
--- a/pebbledrift/router/tokens.py
+++ b/pebbledrift/router/tokens.py
@@ -37,6 +37,7 @@
     balance: float = 0.0
     void_at: float = 0.0
     denied_until: float = 0.0
+    urgent_denied_until: float = 0.0
     demand: float = 0.0  # tokens a second asked of us, of late
     demand_at: float = 0.0
     fallback: Bucket | None = None
@@ -53,6 +54,7 @@
 class _Waiting:
     wallet: _Wallet
     cost: float
+    urgent: bool
     decided: Callable[[float | None], None]
     timer: asyncio.TimerHandle | None = field(default=None)
 
@@ -81,8 +83,13 @@
                 wallets[tenant.name] = wallet
         self._wallets = wallets
 
-    def take(self, tenant: Tenant, cost: float, decided: Callable[[float | None], None]) -> None:
-        """Take the cost of a request. `decided` gets None, or the seconds after which there may be enough."""
+    def take(
+        self, tenant: Tenant, cost: float, urgent: bool, decided: Callable[[float | None], None]
+    ) -> None:
+        """Take the cost of a request. `decided` gets None, or the seconds after which there may be enough.
+
+        Of a quota that runs out, a part is kept for the most urgent requests.
+        """
         wallet = self._wallets.get(tenant.name)
         if wallet is None:
             decided(None)
@@ -95,33 +102,35 @@
             wallet.balance -= cost
             decided(None)
             self._borrow_ahead(wallet, cost)
-        elif now < wallet.denied_until:
-            decided(wallet.denied_until - now)
+        elif now < (wallet.denied_until if not urgent else wallet.urgent_denied_until):
+            decided((wallet.denied_until if not urgent else wallet.urgent_denied_until) - now)
         else:
-            self._borrow(wallet, cost, decided)
+            self._borrow(wallet, cost, urgent, decided)
 
-    def _borrow(self, wallet: _Wallet, cost: float, decided: Callable[[float | None], None]) -> None:
+    def _borrow(
+        self, wallet: _Wallet, cost: float, urgent: bool, decided: Callable[[float | None], None]
+    ) -> None:
         need = cost - wallet.balance
-        want = need + wallet.demand * AHEAD_S
-        number = self._ask(wallet, need, want)
+        want = need if urgent else need + wallet.demand * AHEAD_S
+        number = self._ask(wallet, need, want, urgent)
         if number is None:
             self._fall_back(wallet, cost, decided)
             return
-        waiting = _Waiting(wallet, cost, decided)
+        waiting = _Waiting(wallet, cost, urgent, decided)
         waiting.timer = self._loop.call_later(ASK_S, self._unanswered, number)
         self._waiting[number] = waiting
 
     def _borrow_ahead(self, wallet: _Wallet, cost: float) -> None:
         want = wallet.demand * AHEAD_S
         if wallet.balance < max(cost, want / 2) and not any(w is wallet for w in self._ahead.values()):
-            number = self._ask(wallet, cost, max(cost, want))
+            number = self._ask(wallet, cost, max(cost, want), urgent=False)
             if number is not None:
                 self._ahead[number] = wallet
                 self._loop.call_later(LOAN_S, self._ahead.pop, number, None)
 
-    def _ask(self, wallet: _Wallet, need: float, want: float) -> int | None:
+    def _ask(self, wallet: _Wallet, need: float, want: float, urgent: bool) -> int | None:
         self._number += 1
-        asked = self._lender.ask(TokenRequest(self._number, wallet.tenant.name, need, want))
+        asked = self._lender.ask(TokenRequest(self._number, wallet.tenant.name, need, want, urgent))
         return self._number if asked else None
 
     def granted(self, grant: TokenGrant) -> None:
@@ -142,7 +151,9 @@
             wallet.balance += grant.granted
             wallet.void_at = now + LOAN_S
         else:
-            wallet.denied_until = now + min(grant.retry_after_s, DENIED_MOST_S) / 4
+            wallet.denied_until = until = now + min(grant.retry_after_s, DENIED_MOST_S) / 4
+            if waiting is not None and waiting.urgent:
+                wallet.urgent_denied_until = until
         if waiting is not None:
             self._decide(waiting, grant.retry_after_s)
 
--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -213,7 +213,7 @@
                 # a new process, or one that was away: what was known would flood or starve a cold worker
                 w.seen_at = w.full_until = NEVER
                 w.size = max(1.0, e.weight) if self.settings.nominal_weights else 1.0
-                w.limit = w.size if self.fleet else 1.0
+                w.limit = w.size if self.fleet else self.settings.first_limit
                 w.unreached, w.suspended_until, w.unseen, w.cold_most = 0, NEVER, 0.0, 0.0
                 w.strikes, w.failed_until = {}, {}
                 gone.append(w)
--- a/spoolpier/interface.py
+++ b/spoolpier/interface.py
@@ -129,6 +129,7 @@
     fall_multiple: float = 1.0
     fall_ms: float = 1000.0
     fee_cross_zone: float = 0.0
+    first_limit: float = 1.0  # attempts that a worker may run at first, before anything is learned of it
 
     @property
     def parts(self) -> int:
