--- a/pebbledrift/chain/agreement.py
+++ b/pebbledrift/chain/agreement.py
@@ -1,6 +1,6 @@
 """Agreement on the next view by a majority of the view before it (single-decree Paxos for each epoch).
 
-A promise seals the present view at whoever gave it: a chain of which one member is sealed commits nothing more.
+A promise seals the present view at whoever gave it: a chain with one member sealed commits nothing more.
 """
 
 from __future__ import annotations
--- a/pebbledrift/chain/link.py
+++ b/pebbledrift/chain/link.py
@@ -1,4 +1,4 @@
-"""One replica's place in the chain: entries come from the predecessor, are synced, and go to the successor."""
+"""One replica's place in the chain: entries come from the predecessor, are synced and go on."""
 
 from __future__ import annotations
 
@@ -157,7 +157,9 @@
         if message.joined and self.log.holds(last):
             self._send_again(message.node, last)
             return
-        common = next((s for s in (last, committed) if s.sequence <= self._synced and self.log.holds(s)), None)
+        common = next(
+            (s for s in (last, committed) if s.sequence <= self._synced and self.log.holds(s)), None
+        )
         snapshot = None
         if common is None:
             snapshot = self.log.snapshot()
@@ -166,6 +168,9 @@
         self._forwarded = max(self._synced, common.sequence)
         self.outbox.send(address_of(message.node), ChainState(self.epoch, common, snapshot, entries))
 
+    def _has_synced(self, stamp: Stamp) -> bool:
+        return stamp.sequence <= self._synced and self.log.holds(stamp)
+
     def _send_again(self, successor: str, last: Stamp) -> None:
         entries = self.log.after(last.sequence, self._synced)
         if entries:
--- a/pebbledrift/chain/planning.py
+++ b/pebbledrift/chain/planning.py
@@ -77,7 +77,7 @@
             return node
     silent = [node for node in members if _departed(situation, node, REPLACE_AFTER_S)]
     zone = _zone(situation, joiner)
-    return min(silent, key=lambda node: _zone(situation, node) != zone, default=None)
+    return min(silent, key=lambda node: _zone(situation, str(node)) != zone, default=None)
 
 
 def _next_members(situation: Situation) -> tuple[str, ...]:
@@ -134,7 +134,9 @@
     return None if same else Plan(members, previous, chain)
 
 
-def first_by_stamp(chain: tuple[ChainMember, ...], stamps: dict[str, tuple[Stamp, int]]) -> tuple[ChainMember, ...]:
+def first_by_stamp(
+    chain: tuple[ChainMember, ...], stamps: dict[str, tuple[Stamp, int]]
+) -> tuple[ChainMember, ...]:
     """The chain with the replica in front that has the newest log of all that promised.
 
     It is the head even where it was not wanted: nobody else is sure to have all that was acknowledged.
--- a/pebbledrift/chain/recovery.py
+++ b/pebbledrift/chain/recovery.py
@@ -11,7 +11,6 @@
     Image,
     Record,
     Snapshot,
-    Stamp,
     Truncate,
     Vote,
 )
@@ -52,5 +51,3 @@
         stored.entries = [entry for entry in stored.entries if entry.sequence <= record.sequence]
     elif isinstance(record, Entry):
         stored.entries.append(record)
-
-
--- a/pebbledrift/chain/replica.py
+++ b/pebbledrift/chain/replica.py
@@ -178,11 +178,7 @@
         view = self.agreement.view
         if view is None or not self.log.committed.sequence:
             return False
-        heard = [
-            peer.heartbeat
-            for peer in self.peers.living(now)
-            if peer.heartbeat.epoch <= view.epoch
-        ]
+        heard = [peer.heartbeat for peer in self.peers.living(now) if peer.heartbeat.epoch <= view.epoch]
         newest = max((Stamp(*h.committed) for h in heard), default=self.log.committed)
         nodes = {h.node for h in heard} | {self.settings.node}
         return view.is_quorum(nodes) and self.log.committed >= newest
--- a/pebbledrift/chain/requests.py
+++ b/pebbledrift/chain/requests.py
@@ -95,11 +95,16 @@
     def on_commit(self) -> None:
         """Our own state has moved on: calls that it answers are at their end."""
         for call in list(self._pending.values()):
-            if call.order is not None and call.order.digest in self.log.state.taken:
-                self._finish(call, Judgement(Verdict.TAKEN))
-            elif call.read_at is not None and self.log.committed.sequence >= call.read_at:
+            if (call.order is not None and call.order.digest in self.log.state.taken) or (
+                call.read_at is not None and self.log.committed.sequence >= call.read_at
+            ):
                 self._finish(call, Judgement(Verdict.TAKEN))
 
+    def _is_answered(self, call: PendingCall) -> bool:
+        if call.order is not None:
+            return call.order.digest in self.log.state.taken
+        return call.read_at is not None and self.log.committed.sequence >= call.read_at
+
     # at the head
 
     def enter(self) -> None:
--- a/pebbledrift/chain/slots.py
+++ b/pebbledrift/chain/slots.py
@@ -1,4 +1,4 @@
-"""Two files written in turn: the older one is written over, so that one whole value is there at any moment."""
+"""Two files written in turn: the older one is written over, so that there always is a whole value."""
 
 from __future__ import annotations
 
--- a/pebbledrift/cluster/__init__.py
+++ b/pebbledrift/cluster/__init__.py
@@ -1,1 +1,1 @@
-"""What every process of a router fleet has: its boot settings, typed messages and connections to its peers."""
+"""What every process of a router fleet has: boot settings, typed messages, connections to its peers."""
--- a/pebbledrift/cluster/codec.py
+++ b/pebbledrift/cluster/codec.py
@@ -8,7 +8,7 @@
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass, fields
-from typing import Any, TypeVar
+from typing import Any, TypeVar, dataclass_transform
 
 import cbor2
 
@@ -18,17 +18,18 @@
 LENGTH = struct.Struct(">I")
 FRAME_MOST = 12 * 1024 * 1024
 
-Class = TypeVar("Class", bound=type)
+Class = TypeVar("Class")
 _by_tag: dict[int, type] = {}
 _tag_of: dict[type, int] = {}
 _names_of: dict[type, tuple[str, ...]] = {}
 
 
-def message(number: int) -> Callable[[Class], Class]:
+@dataclass_transform(frozen_default=True)
+def message(number: int) -> Callable[[type[Class]], type[Class]]:
     """Register a class as message `number`, and make it a frozen data class."""
 
-    def register(given: Class) -> Class:
-        made = dataclass(frozen=True, slots=True)(given)
+    def register(given: type[Class]) -> type[Class]:
+        made: type[Any] = dataclass(frozen=True, slots=True)(given)
         tag = FIRST_TAG + number
         if tag in _by_tag:
             raise RuntimeError(f"message {number} is registered twice")
--- a/pebbledrift/cluster/transport.py
+++ b/pebbledrift/cluster/transport.py
@@ -6,6 +6,7 @@
 import logging
 import socket
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Protocol
 
 from pebbledrift.cluster.boot import Address, format_address
@@ -155,7 +156,7 @@
             ended = loop.create_future()
             try:
                 async with asyncio.timeout(CONNECT_S):
-                    _, channel = await loop.create_connection(lambda: self._make(ended), *self.address)
+                    _, channel = await loop.create_connection(partial(self._make, ended), *self.address)
             except (OSError, TimeoutError):
                 pause = min(RETRY_MOST_S, RETRY_GROWTH * pause)
             else:
--- a/pebbledrift/control/orders.py
+++ b/pebbledrift/control/orders.py
@@ -104,7 +104,9 @@
             continue
         present = _named(current.get(place), place)
         changed = _named(upsert.get(place), f"upsert.{place}")
-        result[place] = _changed_section(present, changed, _named(delete.get(place), f"delete.{place}"), place)
+        result[place] = _changed_section(
+            present, changed, _named(delete.get(place), f"delete.{place}"), place
+        )
     result["revision"] = change.get("revision")
     return result
 
--- a/pebbledrift/control/quota.py
+++ b/pebbledrift/control/quota.py
@@ -57,7 +57,9 @@
         if rate > 0:
             in_tokens = tenant.get("unit") == "tokens"
             plain = float(tenant.get("uncached-tokens") or 0.0)
-            found.append(TenantQuota(tenant["name"], rate, float(tenant.get("burst") or 0.0), in_tokens, plain))
+            found.append(
+                TenantQuota(tenant["name"], rate, float(tenant.get("burst") or 0.0), in_tokens, plain)
+            )
     return found
 
 
@@ -90,9 +92,7 @@
             buckets[quota.name] = known
         self._buckets = buckets
 
-    def lend(
-        self, tenant: str, need: float, want: float, now: float, urgent: bool
-    ) -> tuple[float, float]:
+    def lend(self, tenant: str, need: float, want: float, now: float, urgent: bool) -> tuple[float, float]:
         """What is lent, and after how long there may be enough."""
         bucket = self._buckets.get(tenant)
         if bucket is None:
--- a/pebbledrift/control/registry.py
+++ b/pebbledrift/control/registry.py
@@ -52,7 +52,7 @@
     value = body.get(key, default)
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
         raise MalformedHeartbeat(f"{key}: a whole number is needed")
-    return value
+    return int(value)
 
 
 def parse_heartbeat(instance: str, body: object) -> Instance:
--- a/pebbledrift/control/schema.py
+++ b/pebbledrift/control/schema.py
@@ -17,7 +17,7 @@
 class Number(fields.Float):
     """A JSON number: a text that holds one is none."""
 
-    def _validated(self, value: Any) -> float | None:
+    def _validated(self, value: Any) -> float:
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise self.make_error("invalid", input=value)
         return super()._validated(value)
@@ -26,7 +26,7 @@
 class Whole(fields.Integer):
     """A whole JSON number."""
 
-    def _validated(self, value: Any) -> int | None:
+    def _validated(self, value: Any) -> int:
         if isinstance(value, bool) or not isinstance(value, int):
             raise self.make_error("invalid", input=value)
         return super()._validated(value)
--- a/pebbledrift/keeper/api.py
+++ b/pebbledrift/keeper/api.py
@@ -1,4 +1,4 @@
-"""The control interface over HTTP: workers register here, the operator changes and reads the configuration."""
+"""The control interface over HTTP: workers register, the operator changes and reads the configuration."""
 
 from __future__ import annotations
 
--- a/pebbledrift/keeper/disk.py
+++ b/pebbledrift/keeper/disk.py
@@ -20,7 +20,7 @@
 
 
 class DiskWriter:
-    """Writes in order and reports each write that is synced to the loop. A disk that refuses is tried again."""
+    """Writes in order and reports each write once it is synced. A disk that refuses is tried again."""
 
     def __init__(self, storage: Storage, synced: Callable[[int], None]) -> None:
         self._storage = storage
--- a/pebbledrift/router/placement.py
+++ b/pebbledrift/router/placement.py
@@ -128,7 +128,7 @@
         self.tell(api.WorkerList(api.ListForm.FULL, tuple(entries)))
 
     def _number(self, instance: Instance) -> int:
-        """The module's number of an instance: alike at all routers, so that they prefer the same for a key."""
+        """The module's number of an instance: alike at all routers, so they prefer the same for a key."""
         number = self._numbers.get(instance.id)
         if number is None:
             number = _stable_number(instance.id)
--- a/pebbledrift/router/pools.py
+++ b/pebbledrift/router/pools.py
@@ -46,9 +46,7 @@
 class WorkerPools:
     """The placements of one service."""
 
-    def __init__(
-        self, make: Callable[[float], Placement], is_model: bool, slots: int, routers: int
-    ) -> None:
+    def __init__(self, make: Callable[[float], Placement], is_model: bool, slots: int, routers: int) -> None:
         self._loop = asyncio.get_running_loop()
         self._is_model, self._slots = is_model, max(1, slots)
         self.long = make(1.0)
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -163,7 +163,9 @@
     def may_use(self, instance: Instance) -> bool:
         """Whether an instance is still in service."""
         known = self.control.registry.instances.get(instance.id)
-        return known is not None and known.state == InstanceState.READY and instance.id not in self._mismatched
+        return (
+            known is not None and known.state == InstanceState.READY and instance.id not in self._mismatched
+        )
 
     def mismatch(self, instance: Instance) -> None:
         """Another worker has the address: the instance has ended."""
--- a/pebbledrift/router/tokens.py
+++ b/pebbledrift/router/tokens.py
@@ -1,4 +1,4 @@
-"""A router's part of the tenants' quotas: tokens lent by the keeper that acts, or a fixed share without it."""
+"""A router's part of the tenants' quotas: tokens lent by a keeper, or a fixed share without it."""
 
 from __future__ import annotations
 
--- a/pebbledrift/router/upstream.py
+++ b/pebbledrift/router/upstream.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import re
-from collections.abc import Callable
 from enum import Enum, auto
 from typing import Protocol
 
@@ -277,5 +276,3 @@
             for connection in idle:
                 connection.close()
         self._idle.clear()
-
-
--- a/tests/cluster/test_chain.py
+++ b/tests/cluster/test_chain.py
@@ -131,7 +131,8 @@
     cluster.run(1.0)
     revision = 0
     for _ in range(25):
-        trouble, victim = rng.choice(("kill", "power", "wipe", "cut", "stall", "loss", "none")), rng.choice(THREE)
+        trouble = rng.choice(("kill", "power", "wipe", "cut", "stall", "loss", "none"))
+        victim = rng.choice(THREE)
         if trouble == "kill":
             cluster.kill(victim)
         elif trouble == "power":
