--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,6 +18,8 @@
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     for item in items:
+        if item.get_closest_marker("xdist_group") is not None:
+            continue
         owner = getattr(item, "cls", None)
         alone = owner is not None and issubclass(owner, NodeTest | FleetTest)
         item.add_marker(pytest.mark.xdist_group("processes" if alone else "logic"))
