--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -63,7 +63,6 @@
         self.fleet, self.name, self.backend, self.state = fleet, name, backend, "ready"
         self.requests: list[tuple[str, dict[str, str], bytes]] = []
         self.event_pause_s = 0.0
-        self.break_after: int | None = None  # events of one stream, then the connection ends
         worker = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -108,8 +107,8 @@
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
         for number in range(last + 1, 4):
-            if self.break_after is not None and number > self.break_after:
-                self.break_after = None
+            if self.fleet.break_after is not None and number > self.fleet.break_after:
+                self.fleet.break_after = None
                 handler.wfile.write(b"8\r\nid: 9\nda\r\n")
                 handler.wfile.flush()
                 handler.connection.shutdown(socket.SHUT_RDWR)
@@ -166,6 +165,7 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.workers: list[Worker] = []
         self.bootstrap = True
+        self.break_after: int | None = None  # events of the next stream, then its connection ends
 
     def settings(self, address: str, role: str) -> dict[str, Any]:
         """The boot settings of one process."""
--- a/tests/cluster/test_processes.py
+++ b/tests/cluster/test_processes.py
@@ -59,11 +59,12 @@
 def test_a_broken_stream_goes_on_behind_the_last_whole_event(fleet: Fleet) -> None:
     first, other = fleet.workers[0], fleet.add_worker("worker-1")
     wait_for(lambda: "worker-1" in fleet.control(1, "GET", "/-/status")[1]["instances"], "worker-1 known")
-    first.break_after = other.break_after = 2
+    fleet.break_after = 2
     status, headers, body = fleet.request(0, "/stream/1")
     assert status == 200
     assert body == b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in (1, 2, 3))
-    begun, resumed = (first, other) if first.break_after is None else (other, first)
+    resumed = next(w for w in (first, other) if "last-event-id" in w.requests[-1][1])
+    begun = other if resumed is first else first
     assert headers["x-pebbledrift-response-seal"] == f"seal-{begun.name}"
     assert resumed.requests[-1][1]["last-event-id"] == "2"
 
