--- a/pebbledrift/chain/storage.py
+++ b/pebbledrift/chain/storage.py
@@ -16,7 +16,7 @@
 from pebbledrift.chain.recovery import Recovered, recover
 from pebbledrift.cluster.errors import StorageError
 
-LOG_MOST = 2 * 1024 * 1024  # bytes of a log beyond which a slot is written, at least
+LOG_MOST = 512 * 1024  # bytes of a log beyond which a slot is written, at least
 
 
 class Storage:
--- a/pebbledrift/cluster/fleet_messages.py
+++ b/pebbledrift/cluster/fleet_messages.py
@@ -21,6 +21,7 @@
     complete: bool  # it has heard of all workers that report anywhere
     keepers: tuple[str, ...]
     routers: int  # routers that it hears
+    running: tuple[tuple[str, float], ...]  # by service: requests with short prompts that run at all routers
 
 
 @message(101)
@@ -60,6 +61,13 @@
     instances: tuple[Instance, ...]
 
 
+@message(106)
+class RouterLoad:
+    """By service, how many requests with short prompts run at a router, averaged over some seconds."""
+
+    running: tuple[tuple[str, float], ...]
+
+
 @message(110)
 class ConfigFetch:
     """A router asks for all that was committed after what it has."""
--- a/pebbledrift/keeper/service.py
+++ b/pebbledrift/keeper/service.py
@@ -22,6 +22,7 @@
     ConfigFetch,
     ConfigUpdate,
     KeeperState,
+    RouterLoad,
     TokenGrant,
     TokenRequest,
 )
@@ -71,6 +72,7 @@
         self.bank = TokenBank()
         self._bank_epoch = 0
         self._was_head = False
+        self._loads: dict[Channel, dict[str, float]] = {}
         self._state_at = 0.0
         self._told: tuple[Any, ...] = ()
         self._most_routers = 0
@@ -213,6 +215,17 @@
             channel.send(self._committed_after(Stamp(*message.committed)))
         elif isinstance(message, TokenRequest):
             channel.send(self._lend(message))
+        elif isinstance(message, RouterLoad):
+            self._loads[channel] = dict(message.running)
+
+    def _running(self) -> tuple[tuple[str, float], ...]:
+        """By service, what runs at all routers that are connected."""
+        self._loads = {c: load for c, load in self._loads.items() if c in self.network.routers}
+        total: dict[str, float] = {}
+        for load in self._loads.values():
+            for name, running in load.items():
+                total[name] = total.get(name, 0.0) + running
+        return tuple(total.items())
 
     def _committed_after(self, after: Stamp) -> ConfigUpdate:
         log_ = self.replica.log
@@ -236,6 +249,7 @@
             self.workers.complete,
             tuple(keepers),
             len(set(self.network.routers.values())),
+            self._running(),
         )
 
     def _tell_state(self, now: float) -> None:
--- a/pebbledrift/router/control.py
+++ b/pebbledrift/router/control.py
@@ -17,6 +17,7 @@
     InstanceNews,
     InstanceSnapshot,
     KeeperState,
+    RouterLoad,
     TokenGrant,
 )
 from pebbledrift.cluster.transport import Channel, Dialer, Hello
@@ -140,6 +141,17 @@
         if any(instance is not None for instance in changed):
             self._instances_changed()
 
+    def tell_load(self, running: dict[str, float]) -> None:
+        """Tell the keepers what runs here."""
+        load = RouterLoad(tuple(running.items()))
+        for dialer in self._dialers.values():
+            dialer.send(load)
+
+    def running(self) -> dict[str, float]:
+        """By service, what runs at all routers, as the keeper says that hears most of them."""
+        fullest = max((state for state, _ in self._states.values()), key=lambda s: s.routers, default=None)
+        return dict(fullest.running) if fullest is not None else {}
+
     # who acts
 
     def head(self) -> Channel | None:
--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -69,7 +69,7 @@
     ) -> None:
         self.admitted, self.client = admitted, client
         self._pools, self._pool, self._budget, self._state = pools, pool, budget, state
-        self._placement = pools.choose(admitted.prompt_tokens, state.routers())
+        self._placement = pools.choose(admitted.prompt_tokens)
         self._loop = asyncio.get_running_loop()
         self._attempt: Attempt | None = None
         self._over = False
--- a/pebbledrift/router/pools.py
+++ b/pebbledrift/router/pools.py
@@ -16,7 +16,7 @@
 
 SHORT_PROMPT_TOKENS = 1024  # read in about the time of one step: it holds nobody up
 SHORT_SHARE = 1.5  # of its equal part of a worker's places a router uses at first, for short prompts
-SPARE = 1.5  # places kept for short prompts over those that are in use on average
+SPARE = 1.35  # places kept for short prompts over those that are in use on average
 AVERAGE_S = 6.0  # the time over which running streams are averaged
 SEEN_S = 20.0  # a kind of request that did not come for so long needs no workers of its own
 SHRINK_BELOW = 0.7  # of a worker less is needed before one is given back
@@ -57,15 +57,23 @@
         self._seen = {True: -math.inf, False: -math.inf}
         self._short_workers = 0
 
-    def choose(self, prompt_tokens: float | None, routers: int) -> Placement:
+    @property
+    def divides(self) -> bool:
+        """Whether workers of the service are ever divided."""
+        return self._is_model
+
+    def choose(self, prompt_tokens: float | None) -> Placement:
         """The placement for a request, by its prompt."""
         if not self._is_model:
             return self.long
         short = prompt_tokens is not None and prompt_tokens <= SHORT_PROMPT_TOKENS
         self._seen[short] = self._loop.time()
-        self._divide(routers)
         return self.short if short else self.long
 
+    def load(self) -> float:
+        """How many requests with short prompts run here, averaged."""
+        return self._running.value(self._loop.time())
+
     def began(self, placement: Placement) -> None:
         """A request runs."""
         if placement is self.short and self._is_model:
@@ -84,21 +92,24 @@
     def _ready(self) -> list[Instance]:
         return [i for i in self._instances if i.state == InstanceState.READY]
 
-    def _divide(self, routers: int) -> None:
-        wanted = self._wanted(len(self._ready()), routers)
+    def divide(self, running: float | None) -> None:
+        """Divide the workers by what runs at all routers; None: that is not known, all stays as it is."""
+        if not self._is_model or running is None:
+            return
+        wanted = self._wanted(len(self._ready()), SPARE * running / self._slots)
         if wanted != self._short_workers:
             self._short_workers = wanted
             self._tell()
 
-    def _wanted(self, workers: int, routers: int) -> int:
+    def _wanted(self, workers: int, need: float) -> int:
+        """Workers for short prompts: none where only one kind of request comes, and with some inertia."""
         now = self._loop.time()
         short_seen, long_seen = (now - self._seen[kind] <= SEEN_S for kind in (True, False))
-        if not short_seen or not long_seen or workers < 2:
+        if workers < 2 or not long_seen or (not short_seen and need < SHRINK_BELOW):
             return 0
-        need = SPARE * self._running.value(now) * routers / self._slots
         present = self._short_workers
-        if present - 1 < need + 1 - SHRINK_BELOW and need <= present:
-            return min(present, workers - 1) or 1
+        if present and present - 1 - (1 - SHRINK_BELOW) < need <= present:
+            return min(present, workers - 1)
         return max(1, min(workers - 1, math.ceil(need)))
 
     def _tell(self) -> None:
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -258,6 +258,7 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             now = self.loop.time()
+            self._share_load()
             limits = self.table.limits if self.table is not None else ClientLimits()
             for client in list(self.clients):
                 if client.resting and now - client.since > limits.idle_timeout_s:
@@ -265,6 +266,13 @@
                 elif client.late(now, limits.header_timeout_s):
                     client.answer_late()
 
+    def _share_load(self) -> None:
+        """Tell what runs here, and divide the workers by what runs everywhere."""
+        self.control.tell_load({name: pools.load() for name, pools in self.pools.items() if pools.divides})
+        running = self.control.running()
+        for name, pools in self.pools.items():
+            pools.divide(running.get(name))
+
 
 class _PendingAdmission:
     """A request whose tokens are being borrowed."""
--- a/pebbledrift/single.py
+++ b/pebbledrift/single.py
@@ -16,6 +16,7 @@
 
 log = logging.getLogger("pebbledrift")
 
+
 async def serve(config: Config, read_again: ReadAgain, path: str | None) -> int:
     """Run the node until it has ended; returns the exit code. `path` is the configuration's, where given."""
     if config.cores.processes > 1:
