--- a/pebbledrift/router/pools.py
+++ b/pebbledrift/router/pools.py
@@ -16,8 +16,9 @@
 
 SHORT_PROMPT_TOKENS = 1024  # read in about the time of one step: it holds nobody up
 SHORT_SHARE = 1.5  # of its equal part of a worker's places a router uses at first, for short prompts
-SPARE = 1.35  # places kept for short prompts over those that are in use on average
+SPARE = 1.2  # places kept for short prompts over those that are in use on average
 AVERAGE_S = 6.0  # the time over which running streams are averaged
+SHORT_MOST = 0.5  # share of the workers that is ever kept for short prompts
 SEEN_S = 20.0  # a kind of request that did not come for so long needs no workers of its own
 SHRINK_BELOW = 0.7  # of a worker less is needed before one is given back
 
@@ -108,9 +109,9 @@
         if workers < 2 or not long_seen or (not short_seen and need < SHRINK_BELOW):
             return 0
         present = self._short_workers
-        if present and present - 1 - (1 - SHRINK_BELOW) < need <= present:
-            return min(present, workers - 1)
-        return max(1, min(workers - 1, math.ceil(need)))
+        if not (present and present - 1 - (1 - SHRINK_BELOW) < need <= present):
+            present = math.ceil(need)
+        return max(1, min(present, math.ceil(SHORT_MOST * workers), workers - 1))
 
     def _tell(self) -> None:
         if not self._is_model:
--- a/pebbledrift/router/tokens.py
+++ b/pebbledrift/router/tokens.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from pebbledrift.cluster.fleet_messages import TokenGrant, TokenRequest
 from pebbledrift.control.quota import Bucket
@@ -29,6 +29,16 @@
         """How many routers there are."""
 
 
+class _Denial(NamedTuple):
+    """A cost that was denied, and until when it need not be asked for again."""
+
+    cost: float
+    until: float
+
+
+_NO_DENIAL = _Denial(0.0, 0.0)
+
+
 @dataclass(slots=True)
 class _Wallet:
     """What is lent to us of one tenant's quota."""
@@ -36,12 +46,24 @@
     tenant: Tenant
     balance: float = 0.0
     void_at: float = 0.0
-    denied_until: float = 0.0
-    urgent_denied_until: float = 0.0
+    denied: _Denial = _NO_DENIAL
+    urgent_denied: _Denial = _NO_DENIAL
     demand: float = 0.0  # tokens a second asked of us, of late
     demand_at: float = 0.0
     fallback: Bucket | None = None
 
+    def wait(self, cost: float, urgent: bool, now: float) -> float:
+        """How long a request of this cost need not ask: as much was denied just now."""
+        denial = self.urgent_denied if urgent else self.denied
+        return denial.until - now if cost >= denial.cost else 0.0
+
+    def deny(self, cost: float, urgent: bool, now: float, retry_after_s: float) -> None:
+        """Remember that so much was denied; what is denied to the urgent is denied to all."""
+        denial = _Denial(cost, now + min(retry_after_s, DENIED_MOST_S) / 4)
+        self.denied = denial
+        if urgent:
+            self.urgent_denied = denial
+
     def note(self, cost: float, now: float) -> None:
         """Follow the demand: an average over some seconds."""
         if self.demand_at:
@@ -102,8 +124,8 @@
             wallet.balance -= cost
             decided(None)
             self._borrow_ahead(wallet, cost)
-        elif now < (wallet.denied_until if not urgent else wallet.urgent_denied_until):
-            decided((wallet.denied_until if not urgent else wallet.urgent_denied_until) - now)
+        elif (wait := wallet.wait(cost, urgent, now)) > 0:
+            decided(wait)
         else:
             self._borrow(wallet, cost, urgent, decided)
 
@@ -151,9 +173,8 @@
             wallet.balance += grant.granted
             wallet.void_at = now + LOAN_S
         else:
-            wallet.denied_until = until = now + min(grant.retry_after_s, DENIED_MOST_S) / 4
-            if waiting is not None and waiting.urgent:
-                wallet.urgent_denied_until = until
+            need = waiting.cost if waiting is not None else wallet.demand * AHEAD_S
+            wallet.deny(need, waiting is not None and waiting.urgent, now, grant.retry_after_s)
         if waiting is not None:
             self._decide(waiting, grant.retry_after_s)
 
