--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -73,7 +73,6 @@
         self._loop = asyncio.get_running_loop()
         self._attempt: Attempt | None = None
         self._over = False
-        self._placed = False  # a worker was found for it once
         self._may_have_run = False
         self._head_sent = False
         self._cutter = EventCutter()
@@ -82,6 +81,7 @@
 
     def submit(self) -> None:
         """Let the module place the request."""
+        self._pools.began(self._placement)
         self._budget.note_request(self._loop.time())
         left_ms = max(1.0, (self.admitted.deadline - self._loop.time()) * 1000.0)
         self._placement.submit(self.admitted.name, self, self.admitted.route, self.admitted.key, left_ms)
@@ -96,9 +96,6 @@
             self._report(attempt, instance, OutcomeKind.CANCELLED, 0.0, done=True)
             self._give_up()
             return
-        if not self._placed:
-            self._placed = True
-            self._pools.began(self._placement)
         self._attempt = Attempt(self, attempt, instance)
         self._attempt.begin(self._pool)
 
@@ -160,8 +157,7 @@
     def _end(self) -> None:
         self._over = True
         self._timer.cancel()
-        if self._placed:
-            self._pools.ended(self._placement)
+        self._pools.ended(self._placement)
         self._placement.end(self.admitted.name)
 
     def _finish_with(self, status: int, headers: Mapping[str, str], body: bytes) -> None:
--- a/pebbledrift/router/pools.py
+++ b/pebbledrift/router/pools.py
@@ -16,7 +16,7 @@
 
 SHORT_PROMPT_TOKENS = 1024  # read in about the time of one step: it holds nobody up
 SHORT_SHARE = 1.5  # of its equal part of a worker's places a router uses at first, for short prompts
-SPARE = 1.2  # places kept for short prompts over those that are in use on average
+SPARE = 1.35  # places kept for short prompts over those that are in use on average
 AVERAGE_S = 6.0  # the time over which running streams are averaged
 SHORT_MOST = 0.5  # share of the workers that is ever kept for short prompts
 SEEN_S = 20.0  # a kind of request that did not come for so long needs no workers of its own
@@ -76,7 +76,7 @@
         return self._running.value(self._loop.time())
 
     def began(self, placement: Placement) -> None:
-        """A request runs."""
+        """A request came: one that is held counts too, it needs a place."""
         if placement is self.short and self._is_model:
             self._running.change(1, self._loop.time())
 
