--- a/tests/cluster/test_router_parts.py
+++ b/tests/cluster/test_router_parts.py
@@ -213,7 +213,7 @@
     other, long_other, short_other = make_pools(9)
     for each in (one, other):
         assert each.choose(9000.0) is each.long and each.choose(200.0) is each.short
-        each.divide(18.0)
+        each.divide(16.0)
     assert len(short_one.workers) == 2 and len(long_one.workers) == 7
     assert not set(short_one.workers) & set(long_one.workers)
     assert (short_one.workers, long_one.workers) == (short_other.workers, long_other.workers)
