--- a/tests/cluster/simulation.py
+++ b/tests/cluster/simulation.py
@@ -97,7 +97,7 @@
             incarnation=self._incarnation,
             eligible=True,
             tolerated=self.tolerated,
-            contacts=self.seeds,
+            contacts=self.seeds if founder else tuple(self.replicas) or self.seeds,  # as the operator's list
             seed=self._incarnation,
         )
         replica = Replica(settings, check, recovered.stored, self.now)
