--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -24,6 +24,7 @@
 
 ANSWER_MARGIN_S = 0.02  # the final answer is on its way so long before the client gives up
 LEAST_LEFT_S = 0.01  # with less time left nothing is sent to a worker any more
+RETRY_AFTER_MS = 100.0  # told with a request that was not run
 UNARY_MOST = 8 * 1024 * 1024
 DROPPED = frozenset((*HOP_BY_HOP, heads.EXPECT_INSTANCE, heads.TENANT, heads.DEADLINE, "priority"))
 
@@ -118,10 +119,13 @@
         elif self._may_have_run:
             self._finish_with(502, {}, b"")
         else:
-            self._finish_with(503, {}, b"")
+            self.refuse(RETRY_AFTER_MS)
 
     def _give_up(self) -> None:
-        self.refuse(100.0) if not self._may_have_run else self.fail()
+        if self._may_have_run:
+            self.fail()
+        else:
+            self.refuse(RETRY_AFTER_MS)
 
     def _out_of_time(self) -> None:
         if self._over:
@@ -135,7 +139,7 @@
         elif self._may_have_run:
             self._finish_with(504, {}, b"")
         else:
-            self._finish_with(503, {}, b"")
+            self.refuse(RETRY_AFTER_MS)
         self._placement.gone(self.admitted.name)
 
     # the client
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -269,6 +269,10 @@
     def _share_load(self) -> None:
         """Tell what runs here, and divide the workers by what runs everywhere."""
         self.control.tell_load({name: pools.load() for name, pools in self.pools.items() if pools.divides})
+        if self.table is not None:
+            bounds = [b.max_connections for b in self.table.backends.values() if b.max_connections]
+            if bounds:
+                self.pool.share(min(bounds), self.control.routers())
         running = self.control.running()
         for name, pools in self.pools.items():
             pools.divide(running.get(name))
--- a/pebbledrift/router/upstream.py
+++ b/pebbledrift/router/upstream.py
@@ -18,7 +18,8 @@
 CONNECT_S = 0.5
 IDLE_S = 8.0  # kept without a word of the worker on how long it keeps connections
 IDLE_MARGIN_S = 0.8  # ours are given up before the worker's time is over
-IDLE_MOST = 32  # kept for one worker
+IDLE_MOST, IDLE_LEAST = 32, 2  # kept for one worker
+IDLE_SHARE = 0.7  # of the connections that a worker takes from all routers together
 SWEEP_S = 1.0
 _TIMEOUT = re.compile(r"timeout=(\d+)")
 
@@ -215,6 +216,7 @@
     def __init__(self, limits: Limits) -> None:
         self._limits = limits
         self._idle: dict[Address, list[WorkerConnection]] = {}
+        self._idle_most = IDLE_MOST
         self._loop = asyncio.get_running_loop()
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
         self.opened = 0
@@ -242,12 +244,17 @@
     def give_back(self, connection: WorkerConnection) -> None:
         """Keep a connection on which nothing is open."""
         idle = self._idle.setdefault(connection.address, [])
-        if connection.closed or len(idle) >= IDLE_MOST or connection.idle_s <= 0:
+        if connection.closed or len(idle) >= self._idle_most or connection.idle_s <= 0:
             connection.close()
             return
         connection.idle_until = self._loop.time() + connection.idle_s
         idle.append(connection)
 
+    def share(self, max_connections: int, routers: int) -> None:
+        """Keep no more than our part of the connections that every worker takes."""
+        part = int(IDLE_SHARE * max_connections / max(1, routers))
+        self._idle_most = max(IDLE_LEAST, min(IDLE_MOST, part))
+
     def lost(self, connection: WorkerConnection) -> None:
         """A connection has ended."""
         idle = self._idle.get(connection.address)
