--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -268,6 +268,13 @@
         finally:
             connection.close()
 
+    def serves_control(self, keeper: int) -> bool:
+        """Whether a keeper's control interface is open: it opens after what routers need."""
+        try:
+            return self.control(keeper, "GET", "/-/status")[0] == 200
+        except OSError:
+            return False
+
     def ready(self, router: int) -> bool:
         """Whether a router says that it is ready."""
         connection = http.client.HTTPConnection(self.routers[router], self.readiness, timeout=2)
--- a/tests/cluster/test_interfaces.py
+++ b/tests/cluster/test_interfaces.py
@@ -26,6 +26,7 @@
         made.add_worker("lm-0")
         made.add_worker("plain-0", "plain")
         assert made.replace(example_config(1), 0) == 200
+        wait_for(lambda: all(made.serves_control(number) for number in range(3)), "all keepers")
         wait_for(lambda: made.ready(0), "the router")
         yield made
     finally:
--- a/tests/cluster/test_processes.py
+++ b/tests/cluster/test_processes.py
@@ -23,6 +23,7 @@
         made.start_all()
         made.add_worker("worker-0")
         assert made.replace(example_config(1), 0) == 200
+        wait_for(lambda: all(made.serves_control(number) for number in range(3)), "all keepers")
         for router in range(2):
             wait_for(lambda router=router: made.ready(router), f"router {router}")  # type: ignore[misc]
         yield made
--- a/tests/test_bad_lists.py
+++ b/tests/test_bad_lists.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import queue
 import socket
@@ -246,7 +247,8 @@
                 for byte in b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n":
                     if given_up.wait(0.1):
                         break
-                    connection.sendall(bytes([byte]))
+                    with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+                        connection.sendall(bytes([byte]))  # it may be given up at this very moment
                 self.assertTrue(given_up.wait(WAIT))
                 reader.join()
 
