--- a/pebbledrift/cluster/fleet_messages.py
+++ b/pebbledrift/cluster/fleet_messages.py
@@ -92,7 +92,7 @@
     tenant: str
     need: float
     want: float
-    urgent: bool
+    priority: int  # a LoanPriority
 
 
 @message(121)
--- a/pebbledrift/control/quota.py
+++ b/pebbledrift/control/quota.py
@@ -4,13 +4,25 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import IntEnum
 from typing import Any
 
 LEAST_BURST_S = 0.25
-URGENT_SHARE = 0.3  # of a burst, kept for the most urgent requests
 FIRST_SHARE = 0.3  # of a burst, to begin with: others may have lent the rest just before
 
 
+class LoanPriority(IntEnum):
+    """Which requests of a tenant go first where its quota runs out."""
+
+    SMALL = 0  # a fraction of the tenant's usual cost: many of them are served for one large one
+    URGENT = 1  # of the most urgent routes
+    ORDINARY = 2
+
+
+# Share of a burst that is kept for requests that go before these.
+RESERVES = {LoanPriority.SMALL: 0.0, LoanPriority.URGENT: 0.05, LoanPriority.ORDINARY: 0.3}
+
+
 @dataclass(slots=True)
 class Bucket:
     """What may still be spent: grows by `rate` a second up to `burst`."""
@@ -92,12 +104,14 @@
             buckets[quota.name] = known
         self._buckets = buckets
 
-    def lend(self, tenant: str, need: float, want: float, now: float, urgent: bool) -> tuple[float, float]:
+    def lend(
+        self, tenant: str, need: float, want: float, now: float, priority: LoanPriority
+    ) -> tuple[float, float]:
         """What is lent, and after how long there may be enough."""
         bucket = self._buckets.get(tenant)
         if bucket is None:
             return 0.0, 1.0
         bucket.refill(now)
-        keep = 0.0 if urgent else URGENT_SHARE * bucket.burst
+        keep = RESERVES[priority] * bucket.burst
         granted = bucket.take(need, want, keep)
         return granted, 0.0 if granted else bucket.wait_for(need + keep)
--- a/pebbledrift/keeper/service.py
+++ b/pebbledrift/keeper/service.py
@@ -28,7 +28,7 @@
 )
 from pebbledrift.cluster.transport import Channel, Hello, serve
 from pebbledrift.control.orders import Judgement, Order
-from pebbledrift.control.quota import TokenBank, quotas_of
+from pebbledrift.control.quota import LoanPriority, TokenBank, quotas_of
 from pebbledrift.control.registry import Instance
 from pebbledrift.keeper.disk import DiskWriter
 from pebbledrift.keeper.instance_store import InstanceStore
@@ -280,7 +280,8 @@
         epoch = self.replica.link.epoch
         if not self.replica.link.is_head or not self.replica.established or not self.replica.current(now):
             return TokenGrant(request.number, 0, request.tenant, 0.0, 0.2)
-        granted, wait = self.bank.lend(request.tenant, request.need, request.want, now, request.urgent)
+        priority = LoanPriority(request.priority)
+        granted, wait = self.bank.lend(request.tenant, request.need, request.want, now, priority)
         return TokenGrant(request.number, epoch, request.tenant, granted, wait)
 
     # the control interface
--- a/pebbledrift/router/tokens.py
+++ b/pebbledrift/router/tokens.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple, Protocol
 
 from pebbledrift.cluster.fleet_messages import TokenGrant, TokenRequest
-from pebbledrift.control.quota import Bucket
+from pebbledrift.control.quota import Bucket, LoanPriority
 from pebbledrift.router.routes import Tenant
 
 LOAN_S = 1.5  # what was lent and not used by then is void
@@ -16,6 +16,8 @@
 AHEAD_S = 0.25  # of its own demand, a router borrows for so long ahead
 DEMAND_SHARE = 0.1  # weight of a new second in the demand
 DENIED_MOST_S = 1.0
+SMALL_PART = 0.2  # a request that costs less than this part of the tenant's average is small
+AVERAGE_STEP = 0.05  # weight of one more request in that average
 FALLBACK_IDLE_S = 0.7  # a fixed share that was not used for so long begins anew
 
 
@@ -46,23 +48,29 @@
     tenant: Tenant
     balance: float = 0.0
     void_at: float = 0.0
-    denied: _Denial = _NO_DENIAL
-    urgent_denied: _Denial = _NO_DENIAL
+    denied: dict[LoanPriority, _Denial] = field(default_factory=dict)
+    average_cost: float = 0.0
     demand: float = 0.0  # tokens a second asked of us, of late
     demand_at: float = 0.0
     fallback: Bucket | None = None
 
-    def wait(self, cost: float, urgent: bool, now: float) -> float:
+    def priority(self, cost: float, urgent: bool) -> LoanPriority:
+        """Which requests this one goes before where the quota runs out."""
+        if cost < SMALL_PART * self.average_cost:
+            return LoanPriority.SMALL
+        return LoanPriority.URGENT if urgent else LoanPriority.ORDINARY
+
+    def wait(self, cost: float, priority: LoanPriority, now: float) -> float:
         """How long a request of this cost need not ask: as much was denied just now."""
-        denial = self.urgent_denied if urgent else self.denied
+        denial = self.denied.get(priority, _NO_DENIAL)
         return denial.until - now if cost >= denial.cost else 0.0
 
-    def deny(self, cost: float, urgent: bool, now: float, retry_after_s: float) -> None:
-        """Remember that so much was denied; what is denied to the urgent is denied to all."""
+    def deny(self, cost: float, priority: LoanPriority, now: float, retry_after_s: float) -> None:
+        """Remember that so much was denied; what is denied to some is denied to all that go behind them."""
         denial = _Denial(cost, now + min(retry_after_s, DENIED_MOST_S) / 4)
-        self.denied = denial
-        if urgent:
-            self.urgent_denied = denial
+        for behind in LoanPriority:
+            if behind >= priority:
+                self.denied[behind] = denial
 
     def note(self, cost: float, now: float) -> None:
         """Follow the demand: an average over some seconds."""
@@ -70,13 +78,15 @@
             self.demand *= max(0.0, 1.0 - DEMAND_SHARE * (now - self.demand_at) * 4.0)
         self.demand += cost * DEMAND_SHARE * 4.0
         self.demand_at = now
+        known = self.average_cost or cost
+        self.average_cost = known + AVERAGE_STEP * (cost - known)
 
 
 @dataclass(slots=True)
 class _Waiting:
     wallet: _Wallet
     cost: float
-    urgent: bool
+    priority: LoanPriority
     decided: Callable[[float | None], None]
     timer: asyncio.TimerHandle | None = field(default=None)
 
@@ -110,7 +120,7 @@
     ) -> None:
         """Take the cost of a request. `decided` gets None, or the seconds after which there may be enough.
 
-        Of a quota that runs out, a part is kept for the most urgent requests.
+        Of a quota that runs out, parts are kept for small requests and for the most urgent ones.
         """
         wallet = self._wallets.get(tenant.name)
         if wallet is None:
@@ -118,41 +128,46 @@
             return
         now = self._loop.time()
         wallet.note(cost, now)
+        priority = wallet.priority(cost, urgent)
         if now >= wallet.void_at:
             wallet.balance = 0.0
         if wallet.balance >= cost:
             wallet.balance -= cost
             decided(None)
             self._borrow_ahead(wallet, cost)
-        elif (wait := wallet.wait(cost, urgent, now)) > 0:
+        elif (wait := wallet.wait(cost, priority, now)) > 0:
             decided(wait)
         else:
-            self._borrow(wallet, cost, urgent, decided)
+            self._borrow(wallet, cost, priority, decided)
 
     def _borrow(
-        self, wallet: _Wallet, cost: float, urgent: bool, decided: Callable[[float | None], None]
+        self,
+        wallet: _Wallet,
+        cost: float,
+        priority: LoanPriority,
+        decided: Callable[[float | None], None],
     ) -> None:
         need = cost - wallet.balance
-        want = need if urgent else need + wallet.demand * AHEAD_S
-        number = self._ask(wallet, need, want, urgent)
+        ahead = wallet.demand * AHEAD_S if priority == LoanPriority.ORDINARY else 0.0
+        number = self._ask(wallet, need, need + ahead, priority)
         if number is None:
             self._fall_back(wallet, cost, decided)
             return
-        waiting = _Waiting(wallet, cost, urgent, decided)
+        waiting = _Waiting(wallet, cost, priority, decided)
         waiting.timer = self._loop.call_later(ASK_S, self._unanswered, number)
         self._waiting[number] = waiting
 
     def _borrow_ahead(self, wallet: _Wallet, cost: float) -> None:
         want = wallet.demand * AHEAD_S
         if wallet.balance < max(cost, want / 2) and not any(w is wallet for w in self._ahead.values()):
-            number = self._ask(wallet, cost, max(cost, want), urgent=False)
+            number = self._ask(wallet, cost, max(cost, want), LoanPriority.ORDINARY)
             if number is not None:
                 self._ahead[number] = wallet
                 self._loop.call_later(LOAN_S, self._ahead.pop, number, None)
 
-    def _ask(self, wallet: _Wallet, need: float, want: float, urgent: bool) -> int | None:
+    def _ask(self, wallet: _Wallet, need: float, want: float, priority: LoanPriority) -> int | None:
         self._number += 1
-        asked = self._lender.ask(TokenRequest(self._number, wallet.tenant.name, need, want, urgent))
+        asked = self._lender.ask(TokenRequest(self._number, wallet.tenant.name, need, want, priority))
         return self._number if asked else None
 
     def granted(self, grant: TokenGrant) -> None:
@@ -174,7 +189,8 @@
             wallet.void_at = now + LOAN_S
         else:
             need = waiting.cost if waiting is not None else wallet.demand * AHEAD_S
-            wallet.deny(need, waiting is not None and waiting.urgent, now, grant.retry_after_s)
+            priority = waiting.priority if waiting is not None else LoanPriority.ORDINARY
+            wallet.deny(need, priority, now, grant.retry_after_s)
         if waiting is not None:
             self._decide(waiting, grant.retry_after_s)
 
--- a/tests/cluster/test_orders.py
+++ b/tests/cluster/test_orders.py
@@ -10,7 +10,7 @@
 
 from pebbledrift.cluster.errors import InvalidConfiguration
 from pebbledrift.control.orders import ConfigurationState, Order, OrderKind, Verdict
-from pebbledrift.control.quota import TenantQuota, TokenBank
+from pebbledrift.control.quota import LoanPriority, TenantQuota, TokenBank
 from pebbledrift.control.registry import InstanceState, MalformedHeartbeat, Registry, gone, parse_heartbeat
 from pebbledrift.control.schema import check
 
@@ -180,17 +180,20 @@
     bank.configure([TenantQuota("t", 1000.0, 1000.0, True, 0.0)], 0.0)
     lent = 0.0
     for step in range(800):
-        granted, wait = bank.lend("t", 90.0, 200.0, step / 100, urgent=step % 5 == 0)
+        granted, wait = bank.lend("t", 90.0, 200.0, step / 100, LoanPriority(step % 3))
         assert granted or wait > 0
         lent += granted
     assert 0.9 * 8000 < lent <= 8000 + 1000
 
 
-def test_a_part_of_a_burst_is_kept_for_the_most_urgent() -> None:
+def test_parts_of_a_burst_are_kept_for_the_urgent_and_for_the_small() -> None:
     bank = TokenBank()
     bank.configure([TenantQuota("t", 1000.0, 1000.0, True, 0.0)], 0.0)
     now = 1.0
-    while bank.lend("t", 50.0, 50.0, now, urgent=False)[0]:
+    while bank.lend("t", 50.0, 50.0, now, LoanPriority.ORDINARY)[0]:
         pass
-    assert bank.lend("t", 50.0, 50.0, now, urgent=True)[0] == 50.0
-    assert bank.lend("unknown", 50.0, 50.0, now, urgent=True) == (0.0, 1.0)
+    assert bank.lend("t", 50.0, 50.0, now, LoanPriority.URGENT)[0] == 50.0
+    while bank.lend("t", 50.0, 50.0, now, LoanPriority.URGENT)[0]:
+        pass
+    assert bank.lend("t", 5.0, 5.0, now, LoanPriority.SMALL)[0] == 5.0
+    assert bank.lend("unknown", 50.0, 50.0, now, LoanPriority.URGENT) == (0.0, 1.0)
--- a/tests/cluster/test_router_parts.py
+++ b/tests/cluster/test_router_parts.py
@@ -10,6 +10,7 @@
 
 from pebbledrift.cluster.fleet_messages import TokenGrant, TokenRequest
 from pebbledrift.config import Limits
+from pebbledrift.control.quota import LoanPriority
 from pebbledrift.control.registry import Instance, InstanceState
 from pebbledrift.net.http import Parser
 from pebbledrift.router import pools
@@ -172,6 +173,19 @@
     assert len(lender.asked) == asked + 2
 
 
+def test_a_small_request_is_asked_for_with_precedence_though_all_else_was_denied(clock: Clock) -> None:
+    purse, lender = make_purse()
+    decided: list[float | None] = []
+    purse.take(TENANT, 500.0, True, decided.append)
+    purse.granted(TokenGrant(lender.asked[-1].number, 3, "t", 0.0, 1.0))
+    purse.take(TENANT, 20.0, False, decided.append)
+    assert lender.asked[-1].priority == LoanPriority.SMALL
+    purse.granted(TokenGrant(lender.asked[-1].number, 3, "t", 0.0, 1.0))
+    asked = len(lender.asked)
+    purse.take(TENANT, 30.0, True, decided.append)
+    assert len(lender.asked) == asked, "what is denied to the small is denied to all"
+
+
 def test_without_a_keeper_all_routers_together_stay_within_the_rate(clock: Clock) -> None:
     purse, lender = make_purse()
     lender.reachable = False
