--- a/pebbledrift/chain/agreement.py
+++ b/pebbledrift/chain/agreement.py
@@ -27,6 +27,7 @@
 
 GATHER_S = 0.06  # promises beyond a majority are waited for so long
 GIVE_UP_S = 0.7  # a proposal that has not succeeded by then is dropped
+RESEND_S = 0.08  # who has not answered by then is asked again: the way to it may just have come up
 PAUSE_S = 0.25  # at most, before the next: two proposers would go on for ever in step
 
 
@@ -37,6 +38,7 @@
     ballot: Ballot
     plan: Plan
     begun: float
+    resend_at: float
     promises: dict[str, Promise] = field(default_factory=dict)
     view: View | None = None  # proposed, once a majority has promised
     accepted: set[str] = field(default_factory=set)
@@ -101,10 +103,10 @@
     # acceptor
 
     def on_prepare(self, sender: str, message: Prepare) -> None:
-        """Promise, if no later ballot was promised and the view is the next one."""
+        """Promise, if no later ballot was promised and the view is the next one. The same may ask again."""
         self.learn(message.base)
         ballot = Ballot(*message.ballot)
-        if not self._may_answer(ballot) or ballot <= self.promised:
+        if not self._may_answer(ballot) or ballot < self.promised:
             self._reject(sender, ballot)
             return
         self.promised = ballot
@@ -147,9 +149,18 @@
         seen = self.promised.round if self.promised.epoch == epoch else 0
         self._round = max(self._round, seen) + 1
         ballot = Ballot(epoch, self._round, self.node)
-        self.proposal = Proposal(ballot, plan, now)
+        self.proposal = Proposal(ballot, plan, now, now)
+        self._ask(self.proposal, now)
+
+    def _ask(self, proposal: Proposal, now: float) -> None:
+        """Send the proposal's present step to all that have not answered it."""
+        assert self.view is not None
+        proposal.resend_at = now + RESEND_S
         for node in self.view.voters:
-            self.outbox.send(address_of(node), Prepare(ballot, self.view))
+            if proposal.view is None and node not in proposal.promises:
+                self.outbox.send(address_of(node), Prepare(proposal.ballot, self.view))
+            elif proposal.view is not None and node not in proposal.accepted:
+                self.outbox.send(address_of(node), Accept(proposal.ballot, proposal.view))
 
     def on_promise(self, message: Promise, now: float) -> None:
         """Count a promise; the view is proposed once enough have come."""
@@ -171,8 +182,7 @@
             self._give_up(now)
             return
         proposal.view = view
-        for node in self.view.voters:
-            self.outbox.send(address_of(node), Accept(proposal.ballot, view))
+        self._ask(proposal, now)
 
     def _choose(self, proposal: Proposal) -> View | None:
         """A view that may have been agreed on already, or the one that we want."""
@@ -227,5 +237,10 @@
             return
         if self.proposal.view is None:
             self._propose_view(self.proposal, now)
-        if self.proposal is not None and now - self.proposal.begun > GIVE_UP_S:
+        proposal = self.proposal
+        if proposal is None:
+            return
+        if now - proposal.begun > GIVE_UP_S:
             self._give_up(now)
+        elif now >= proposal.resend_at:
+            self._ask(proposal, now)
--- a/pebbledrift/cluster/transport.py
+++ b/pebbledrift/cluster/transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import socket
 from collections.abc import Callable
@@ -18,7 +19,7 @@
 PING_S = 0.5
 SILENCE_S = 1.6  # a connection that nothing came on for so long is given up
 CONNECT_S = 0.4
-RETRY_S, RETRY_GROWTH, RETRY_MOST_S = 0.04, 1.4, 0.5
+RETRY_S, RETRY_GROWTH, RETRY_MOST_S = 0.04, 1.25, 0.25
 WRITE_MOST = 16 * 1024 * 1024  # unsent bytes beyond which the peer is taken to be stuck
 BACKLOG = 256
 
@@ -147,6 +148,7 @@
         self.name = format_address(address)
         self._hello, self._listener = hello, listener
         self.channel: Channel | None = None
+        self._retry_now = asyncio.Event()
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     async def _run(self) -> None:
@@ -156,18 +158,24 @@
             ended = loop.create_future()
             try:
                 async with asyncio.timeout(CONNECT_S):
-                    _, channel = await loop.create_connection(partial(self._make, ended), *self.address)
+                    await loop.create_connection(partial(self._make, ended), *self.address)
             except (OSError, TimeoutError):
                 pause = min(RETRY_MOST_S, RETRY_GROWTH * pause)
             else:
                 pause = RETRY_S
-                self.channel = channel
                 await ended
-                self.channel = None
-            await asyncio.sleep(pause)
+            self.channel = None
+            self._retry_now.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause):
+                    await self._retry_now.wait()
+
+    def retry_now(self) -> None:
+        """The peer is there: it has connected to us just now."""
+        self._retry_now.set()
 
     def _make(self, ended: asyncio.Future[None]) -> Channel:
-        return _Dialled(self._listener, self._hello(), self.name, ended)
+        return _Dialled(self, self._listener, self._hello(), ended)
 
     def send(self, value: Any) -> None:
         """Send a message if the connection is up; else it is lost."""
@@ -182,11 +190,15 @@
 
 
 class _Dialled(Channel):
-    """A channel of ours; tells its dialer when it has ended."""
+    """A channel of a dialer's, which can send from the moment that it is told to be open."""
+
+    def __init__(self, dialer: Dialer, listener: Listener, hello: Hello, ended: asyncio.Future[None]) -> None:
+        super().__init__(listener, hello, dialer.name)
+        self._dialer, self._ended = dialer, ended
 
-    def __init__(self, listener: Listener, hello: Hello, address: str, ended: asyncio.Future[None]) -> None:
-        super().__init__(listener, hello, address)
-        self._ended = ended
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._dialer.channel = self
+        super().connection_made(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
--- a/pebbledrift/keeper/peers.py
+++ b/pebbledrift/keeper/peers.py
@@ -72,6 +72,8 @@
         if channel.peer.role == ROLE_ROUTER:
             self.routers[channel] = channel.peer.name
             self.router_joined(channel)
+        elif (dialer := self._dialers.get(channel.peer.address)) is not None:
+            dialer.retry_now()
 
     def received(self, channel: Channel, message: Any) -> None:
         """A message came on a connection that was made to us."""
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -29,7 +29,8 @@
 log = logging.getLogger(__name__)
 
 SWEEP_S = 0.5
-STARTUP_RETRY_S = "0.25"  # Retry-After while the configuration is not known
+STARTUP_S = 0.6  # a start takes about so long from the first request that can be read
+STARTUP_RETRY_S = 0.2  # Retry-After, at least, while the configuration is not known
 CLOSE_BEFORE_GRACE_S = 0.7  # what is still open so long before the end of the grace is given up
 BACKLOG = 1024
 
@@ -53,6 +54,7 @@
         self._number = 0
         self._stopping = asyncio.Event()
         self._closing = False
+        self._listening_since = 0.0
         self._was_started = False
         self._mismatched: dict[str, None] = {}
 
@@ -68,6 +70,7 @@
         )
         ready = await readiness.serve(self.boot.address_of("readiness"), self.limits, self._ready)
         sweeping = self.loop.create_task(self._sweep())
+        self._listening_since = self.loop.time()
         log.info("listening")
         await self._stopping.wait()
         await self._drain(front)
@@ -182,7 +185,7 @@
         arrived = self.loop.time()
         table = self.table
         if table is None or not self._started():
-            client.answer(503, {"Retry-After": STARTUP_RETRY_S}, b"")
+            client.answer(503, {"Retry-After": self._startup_retry()}, b"")
             return None
         path = message.second.partition("?")[0]
         route = table.match(message.headers.get("host", ""), path)
@@ -208,6 +211,11 @@
         )
         return self._admit(client, admitted, tenant, None if prompt is None else prompt.tokens)
 
+    def _startup_retry(self) -> str:
+        """When the start will probably be over."""
+        left = self._listening_since + STARTUP_S - self.loop.time()
+        return f"{max(STARTUP_RETRY_S, left):.3f}"
+
     def _name(self) -> str:
         self._number += 1
         return str(self._number)
@@ -242,7 +250,7 @@
         name = self._backend(admitted.route, admitted.message)
         pools = self.pools.get(name)
         if pools is None:
-            client.answer(503, {"Retry-After": STARTUP_RETRY_S}, b"")
+            client.answer(503, {"Retry-After": self._startup_retry()}, b"")
             return None
         flow = RequestFlow(admitted, client, pools, self.pool, self.budgets[name], self)
         client.owner = flow
--- a/tests/cluster/simulation.py
+++ b/tests/cluster/simulation.py
@@ -56,6 +56,7 @@
         self.replicas: dict[str, Replica] = {}
         self.cut: set[tuple[str, str]] = set()
         self.loss = 0.0
+        self.loses: Callable[[Any], bool] = lambda message: False  # messages that do not arrive
         self.calls: list[Call] = []
         self.committed: dict[int, Entry] = {}  # by sequence: what any replica has committed
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -143,6 +144,8 @@
         for write in replica.outbox.take_writes():
             self._write(address, replica, write.number, write.records)
         for envelope in replica.outbox.take_envelopes():
+            if address != envelope.address and self.loses(envelope.message):
+                continue
             self._send(address, envelope.address, codec.encode(envelope.message))
 
     def _write(self, address: str, replica: Replica, number: int, records: tuple[Record, ...]) -> None:
--- a/tests/cluster/test_chain.py
+++ b/tests/cluster/test_chain.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from pebbledrift.chain.messages import Accept, Accepted, Prepare, Promise
 from pebbledrift.control.orders import Verdict
 from tests.cluster.simulation import Cluster, change
 
@@ -72,6 +73,28 @@
     assert verdict(call) == Verdict.TAKEN
 
 
+@pytest.mark.parametrize("kind", [Prepare, Promise, Accept, Accepted])
+def test_a_step_of_the_agreement_that_was_lost_is_made_again_soon(kind: type) -> None:
+    cluster = Cluster(THREE)
+    cluster.run(1.0)
+    for address in THREE:
+        cluster.kill(address)
+    for address in THREE:
+        cluster.start(address)
+    lost: list[object] = []
+
+    def loses(message: object) -> bool:
+        if isinstance(message, kind) and len(lost) < 2:
+            lost.append(message)
+            return True
+        return False
+
+    cluster.loses = loses
+    cluster.run(0.25)
+    assert lost
+    assert all(replica.current(cluster.now) for replica in cluster.replicas.values())
+
+
 def test_all_are_killed_and_come_back() -> None:
     cluster = Cluster(THREE)
     cluster.run(1.0)
