Quota: routers tell a keeper that begins to lend what they took

Each router now tells a new head what it took while a burst grows back; what a router that restarted cannot know counts by half.

--- a/pebbledrift/cluster/fleet_messages.py
+++ b/pebbledrift/cluster/fleet_messages.py
@@ -104,3 +104,12 @@
     tenant: str
     granted: float
     retry_after_s: float
+
+
+@message(122)
+class TokenReport:
+    """What a router that has run for `age_s` has taken of each quota while a burst grows back."""
+
+    epoch: int
+    age_s: float
+    taken: tuple[tuple[str, float], ...]
--- /dev/null
+++ b/pebbledrift/keeper/lending.py
@@ -0,0 +1,55 @@
+"""The lending of quotas at the keeper that acts for all: the bank, and what routers tell a new one."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from pebbledrift.cluster.fleet_messages import TokenGrant, TokenReport, TokenRequest
+from pebbledrift.control.quota import LoanPriority, SpendingReport, TokenBank, quotas_of
+
+REPORTS_S = 2.0  # routers tell a new bank what they took within so long
+REPORTS_WAIT_S = 0.1  # and so long it waits for those that are connected
+NOT_ACTING_RETRY_S = 0.2
+
+
+class LendingDesk:
+    """Lends tokens while this keeper is the head of the chain."""
+
+    def __init__(self) -> None:
+        self._bank = TokenBank()
+        self._epoch = 0
+        self._was_head = False
+        self._cleared_at = 0.0
+        self._reports: dict[str, TokenReport] = {}
+        self._most_routers = 0
+
+    def follow(self, epoch: int, is_head: bool, config: dict[str, Any] | None, now: float) -> None:
+        """Something was committed: follow the view and the configuration."""
+        if epoch != self._epoch:
+            self._epoch = epoch
+            self._reports = {name: r for name, r in self._reports.items() if r.epoch >= epoch}
+            if not self._was_head:
+                self._bank.clear()
+                self._cleared_at = now
+        self._was_head = is_head
+        self._bank.configure(quotas_of(config), now)
+
+    def take_report(self, router: str, report: TokenReport, connected: int, now: float) -> None:
+        """A router tells what it took; a bank that has just begun to lend learns from it what is left."""
+        self._most_routers = max(self._most_routers, connected)
+        if report.epoch < self._epoch:
+            return
+        self._reports[router] = report
+        since = now - self._cleared_at
+        if since > REPORTS_S or (len(self._reports) < connected and since < REPORTS_WAIT_S):
+            return
+        reports = [SpendingReport(r.age_s, dict(r.taken)) for r in self._reports.values()]
+        self._bank.settle(reports, max(self._most_routers, connected), now)
+
+    def lend(self, request: TokenRequest, acting: bool, now: float) -> TokenGrant:
+        """Lend, as the head of a chain that a majority goes on with; epoch 0 in the answer: it is none."""
+        if not acting:
+            return TokenGrant(request.number, 0, request.tenant, 0.0, NOT_ACTING_RETRY_S)
+        priority = LoanPriority(request.priority)
+        granted, wait = self._bank.lend(request.tenant, request.need, request.want, now, priority)
+        return TokenGrant(request.number, self._epoch, request.tenant, granted, wait)
--- a/pebbledrift/keeper/service.py
+++ b/pebbledrift/keeper/service.py
@@ -23,15 +23,15 @@
     ConfigUpdate,
     KeeperState,
     RouterLoad,
-    TokenGrant,
+    TokenReport,
     TokenRequest,
 )
 from pebbledrift.cluster.transport import Channel, Hello, serve
 from pebbledrift.control.orders import Judgement, Order
-from pebbledrift.control.quota import LoanPriority, TokenBank, quotas_of
 from pebbledrift.control.registry import Instance
 from pebbledrift.keeper.disk import DiskWriter
 from pebbledrift.keeper.instance_store import InstanceStore
+from pebbledrift.keeper.lending import LendingDesk
 from pebbledrift.keeper.peers import KeeperNetwork
 from pebbledrift.keeper.workers import WorkerDesk
 
@@ -69,13 +69,10 @@
         self.network.router_joined = self._router_joined
         store = InstanceStore(self.storage.folder) if self.storage is not None else None
         self.workers = WorkerDesk(self.network, boot.heartbeat_ms / 1000, store)
-        self.bank = TokenBank()
-        self._bank_epoch = 0
-        self._was_head = False
+        self.lending = LendingDesk()
         self._loads: dict[Channel, dict[str, float]] = {}
         self._state_at = 0.0
         self._told: tuple[Any, ...] = ()
-        self._most_routers = 0
         self.replica.on_commit = self._on_commit
         self.disk = DiskWriter(self.storage, self._synced) if self.storage is not None else None
         self._stopping = asyncio.Event()
@@ -214,7 +211,13 @@
         if isinstance(message, ConfigFetch):
             channel.send(self._committed_after(Stamp(*message.committed)))
         elif isinstance(message, TokenRequest):
-            channel.send(self._lend(message))
+            now = self.loop.time()
+            channel.send(self.lending.lend(message, self._acting(now), now))
+        elif isinstance(message, TokenReport):
+            connected = self.network.routers
+            self.lending.take_report(
+                connected[channel], message, len(set(connected.values())), self.loop.time()
+            )
         elif isinstance(message, RouterLoad):
             self._loads[channel] = dict(message.running)
 
@@ -265,24 +268,14 @@
         self.network.send_routers(state)
 
     def _on_commit(self, entries: list[Entry]) -> None:
-        if self._bank_epoch != self.replica.link.epoch:
-            self._bank_epoch = self.replica.link.epoch
-            if not self._was_head:
-                self.bank.clear()
-        self._was_head = self.replica.link.is_head
-        self.bank.configure(quotas_of(self.replica.log.state.config), self.loop.time())
+        now, link = self.loop.time(), self.replica.link
+        self.lending.follow(link.epoch, link.is_head, self.replica.log.state.config, now)
         self._state_at = 0.0
-        self._tell_state(self.loop.time())
+        self._tell_state(now)
 
-    def _lend(self, request: TokenRequest) -> TokenGrant:
-        """Lend tokens, as the head of a chain that a majority goes on with."""
-        now = self.loop.time()
-        epoch = self.replica.link.epoch
-        if not self.replica.link.is_head or not self.replica.established or not self.replica.current(now):
-            return TokenGrant(request.number, 0, request.tenant, 0.0, 0.2)
-        priority = LoanPriority(request.priority)
-        granted, wait = self.bank.lend(request.tenant, request.need, request.want, now, priority)
-        return TokenGrant(request.number, epoch, request.tenant, granted, wait)
+    def _acting(self, now: float) -> bool:
+        """Whether this is the head of a chain that a majority goes on with."""
+        return self.replica.link.is_head and self.replica.established and self.replica.current(now)
 
     # the control interface
 
--- a/pebbledrift/router/control.py
+++ b/pebbledrift/router/control.py
@@ -19,6 +19,7 @@
     KeeperState,
     RouterLoad,
     TokenGrant,
+    TokenReport,
 )
 from pebbledrift.cluster.transport import Channel, Dialer, Hello
 from pebbledrift.control.registry import Registry
@@ -40,11 +41,14 @@
         configured: Callable[[dict[str, Any]], None],
         instances_changed: Callable[[], None],
         granted: Callable[[TokenGrant], None],
+        report: Callable[[int], TokenReport],
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._boot = boot
         self._incarnation = incarnation
         self._configured, self._instances_changed, self._granted = configured, instances_changed, granted
+        self._report = report
+        self._reported = 0  # the newest epoch whose head was told what we took of the quotas
         self.log = ReplicatedLog()
         self.registry = Registry()
         self.workers_known = False
@@ -104,6 +108,9 @@
         now = self._loop.time()
         self._states[channel.address] = state, now
         self.workers_known = self.workers_known or state.complete
+        if state.head == channel.address and state.epoch > self._reported:
+            self._reported = state.epoch
+            channel.send(self._report(state.epoch))
         if state.current:
             living = {address for known, _ in self._states.values() for address in known.keepers}
             self._follow({*self._contacts(), *living, channel.address})
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -45,7 +45,12 @@
         self.limits = _parser_limits(ClientLimits())
         self.clients: set[ClientConnection] = set()
         self.control = ControlClient(
-            boot, secrets.randbits(53), self._configured, self._instances_changed, self._granted
+            boot,
+            secrets.randbits(53),
+            self._configured,
+            self._instances_changed,
+            self._granted,
+            lambda epoch: self.purse.report(epoch),
         )
         self.purse = TokenPurse(self)
         self.pool = WorkerPool(_upstream_limits())
--- a/pebbledrift/router/tokens.py
+++ b/pebbledrift/router/tokens.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
 
-from pebbledrift.cluster.fleet_messages import TokenGrant, TokenRequest
-from pebbledrift.control.quota import Bucket, LoanPriority
+from pebbledrift.cluster.fleet_messages import TokenGrant, TokenReport, TokenRequest
+from pebbledrift.control.quota import Bucket, LoanPriority, SpendingHistory, burst_span
 from pebbledrift.router.routes import Tenant
 
 LOAN_S = 1.5  # what was lent and not used by then is void
@@ -53,6 +53,7 @@
     demand: float = 0.0  # tokens a second asked of us, of late
     demand_at: float = 0.0
     fallback: Bucket | None = None
+    taken: SpendingHistory = field(default_factory=SpendingHistory)
 
     def priority(self, cost: float, urgent: bool) -> LoanPriority:
         """Which requests this one goes before where the quota runs out."""
@@ -102,6 +103,7 @@
         self._ahead: dict[int, _Wallet] = {}
         self._number = 0
         self._epoch = 0
+        self._started = self._loop.time()
 
     def configure(self, tenants: Iterable[Tenant]) -> None:
         """Follow a configuration."""
@@ -115,6 +117,15 @@
                 wallets[tenant.name] = wallet
         self._wallets = wallets
 
+    def report(self, epoch: int) -> TokenReport:
+        """What was taken of the quotas lately: a keeper that begins to lend cannot know it."""
+        now = self._loop.time()
+        taken = []
+        for name, wallet in self._wallets.items():
+            span = burst_span(wallet.tenant.rate, wallet.tenant.burst)
+            taken.append((name, wallet.taken.within(span, now)))
+        return TokenReport(epoch, now - self._started, tuple(taken))
+
     def take(
         self, tenant: Tenant, cost: float, urgent: bool, decided: Callable[[float | None], None]
     ) -> None:
@@ -186,6 +197,7 @@
         self._epoch = grant.epoch
         if grant.granted > 0:
             wallet.balance += grant.granted
+            wallet.taken.add(grant.granted, now)
             wallet.void_at = now + LOAN_S
         else:
             need = waiting.cost if waiting is not None else wallet.demand * AHEAD_S
@@ -218,6 +230,7 @@
         wallet.fallback.rate, wallet.fallback.burst = rate, cost
         wallet.fallback.refill(now)
         if wallet.fallback.take(cost, cost):
+            wallet.taken.add(cost, now)
             decided(None)
         else:
             decided(min(wallet.fallback.wait_for(cost), DENIED_MOST_S))
--- a/tests/cluster/test_orders.py
+++ b/tests/cluster/test_orders.py
@@ -10,7 +10,7 @@
 
 from pebbledrift.cluster.errors import InvalidConfiguration
 from pebbledrift.control.orders import ConfigurationState, Order, OrderKind, Verdict
-from pebbledrift.control.quota import LoanPriority, TenantQuota, TokenBank
+from pebbledrift.control.quota import LoanPriority, SpendingHistory, SpendingReport, TenantQuota, TokenBank
 from pebbledrift.control.registry import InstanceState, MalformedHeartbeat, Registry, gone, parse_heartbeat
 from pebbledrift.control.schema import check
 
@@ -197,3 +197,41 @@
         pass
     assert bank.lend("t", 5.0, 5.0, now, LoanPriority.SMALL)[0] == 5.0
     assert bank.lend("unknown", 50.0, 50.0, now, LoanPriority.URGENT) == (0.0, 1.0)
+
+
+def settled_level(reports: list[SpendingReport], routers: int) -> float:
+    """What a new bank lends at most once the routers have told what they took."""
+    bank = TokenBank()
+    bank.configure([TenantQuota("t", 1000.0, 2000.0, True, 0.0)], 0.0)
+    bank.settle(reports, routers, 0.0)
+    return bank.lend("t", 1.0, 10_000.0, 0.0, LoanPriority.SMALL)[0]
+
+
+def test_a_new_bank_lends_what_the_routers_have_not_taken() -> None:
+    idle, busy = SpendingReport(60.0, {}), SpendingReport(60.0, {"t": 500.0})
+    assert settled_level([idle, idle], 2) == 2000.0
+    assert settled_level([idle, busy], 2) == 1500.0
+    assert settled_level([busy] * 5, 5) == 600.0, "no less than the part that it begins with"
+
+
+def test_a_router_that_has_not_told_or_has_just_started_counts_with_its_part() -> None:
+    idle, just_started = SpendingReport(60.0, {}), SpendingReport(0.5, {})
+    assert settled_level([idle], 2) == 1000.0
+    assert settled_level([idle, just_started], 2) == 2000.0 - 1000.0 * 0.65 / 2
+
+
+def test_what_a_new_bank_has_lent_itself_counts() -> None:
+    bank = TokenBank()
+    bank.configure([TenantQuota("t", 1000.0, 1000.0, True, 0.0)], 0.0)
+    assert bank.lend("t", 300.0, 300.0, 0.0, LoanPriority.SMALL)[0] == 300.0
+    bank.settle([SpendingReport(60.0, {})], 1, 0.0)
+    assert bank.lend("t", 1.0, 5000.0, 0.0, LoanPriority.SMALL)[0] == 700.0
+
+
+def test_spending_is_forgotten_with_time_and_its_memory_is_bounded() -> None:
+    history = SpendingHistory()
+    for step in range(10_000):
+        history.add(1.0, step * 0.01)
+    assert 100 <= history.within(1.0, 100.0) <= 110
+    assert history.within(1.0, 200.0) == 0.0
+    assert len(history._taken) <= 210
--- a/tests/cluster/test_router_parts.py
+++ b/tests/cluster/test_router_parts.py
@@ -148,6 +148,18 @@
     assert len(decided) == 2, "what was lent is void: it has to be asked for"
 
 
+def test_a_purse_tells_a_new_keeper_what_it_took_lately(clock: Clock) -> None:
+    purse, lender = make_purse()
+    decided: list[float | None] = []
+    purse.take(TENANT, 50.0, False, decided.append)
+    purse.granted(TokenGrant(lender.asked[-1].number, 3, "t", 120.0, 0.0))
+    clock.advance(0.5)
+    report = purse.report(4)
+    assert (report.epoch, report.age_s, report.taken) == (4, 0.5, (("t", 120.0),))
+    clock.advance(1.0)
+    assert purse.report(4).taken == (("t", 0.0),), "its burst has grown back"
+
+
 def test_a_grant_of_an_earlier_epoch_is_not_used(clock: Clock) -> None:
     purse, lender = make_purse()
     decided: list[float | None] = []
