--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -18,7 +18,8 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from pebbledrift.config import Config, Limits
+from pebbledrift.bounds import Limits
+from pebbledrift.config import Config
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.engine import Engine
 from pebbledrift.pool import PoolConfig
--- a/bench/peers.py
+++ b/bench/peers.py
@@ -13,7 +13,7 @@
 import socket
 import time
 
-from pebbledrift.config import Limits
+from pebbledrift.bounds import Limits
 from pebbledrift.fleet.fills import FORM, Fills
 from pebbledrift.net.datagrams import PeerSocket
 
--- a/pebbledrift/chain/planning.py
+++ b/pebbledrift/chain/planning.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from pebbledrift.chain.messages import Stamp
 from pebbledrift.chain.peers import PeerTable
 from pebbledrift.chain.view import ChainMember, View, address_of
+from spoolpier.records import record
 
 REPLACE_AFTER_S = 2.0  # a member silent for so long gives its place to a new replica that waits for one
 SHRINK_AFTER_S = 4.0  # and one silent for so long goes where more members are left than are needed
@@ -14,7 +13,7 @@
 SETTLE_S = 0.3  # a replica that came back has to be heard for so long before the chain is changed for it
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Plan:
     """What the next view should be."""
 
@@ -23,7 +22,7 @@
     chain: tuple[ChainMember, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Situation:
     """What a plan is made from."""
 
--- a/pebbledrift/chain/replica.py
+++ b/pebbledrift/chain/replica.py
@@ -20,6 +20,7 @@
 from pebbledrift.chain.requests import Done, RequestDesk
 from pebbledrift.chain.view import View, address_of
 from pebbledrift.control.orders import Check, Order
+from spoolpier.records import record
 
 HEARTBEAT_S = 0.2
 SLOW_DISK_S = 0.5  # a write under way for longer makes a disk count as unhealthy
@@ -29,7 +30,7 @@
 ENTRIES_A_MESSAGE = 256
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ReplicaSettings:
     """What a replica is, and where it begins to look for others."""
 
--- a/pebbledrift/cluster/boot.py
+++ b/pebbledrift/cluster/boot.py
@@ -4,18 +4,19 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import field, fields
 from pathlib import Path
 from typing import Any
 
 from pebbledrift.cluster.errors import BootError
+from spoolpier.records import record
 
 VARIABLE = "PEBBLEDRIFT_BOOT"
 DEFAULT_PATH = "/etc/pebbledrift/node.json"
 Address = tuple[str, int]
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Bounds:
     """Figures of the rules in force, in the units that their names tell."""
 
@@ -31,7 +32,7 @@
     quota_slack: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class BootSettings:
     """What one process is told about itself and where to find others."""
 
@@ -97,7 +98,7 @@
 
 def _bounds(table: Mapping[str, Any]) -> Bounds:
     default = Bounds()
-    known = {name: getattr(default, name) for name in Bounds.__slots__}
+    known = {f.name: getattr(default, f.name) for f in fields(default)}
     found = {name: _number(table, name.replace("_", "-"), value) for name, value in known.items()}
     return Bounds(**found)
 
--- a/pebbledrift/cluster/codec.py
+++ b/pebbledrift/cluster/codec.py
@@ -7,12 +7,13 @@
 
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass, fields
+from dataclasses import fields
 from typing import Any, TypeVar, dataclass_transform
 
 import cbor2
 
 from pebbledrift.cluster.errors import MessageError
+from spoolpier.records import record
 
 FIRST_TAG = 40_000  # of the range that is free for private use
 LENGTH = struct.Struct(">I")
@@ -29,7 +30,7 @@
     """Register a class as message `number`, and make it a frozen data class."""
 
     def register(given: type[Class]) -> type[Class]:
-        made: type[Any] = dataclass(frozen=True, slots=True)(given)
+        made: type[Any] = record(given)
         tag = FIRST_TAG + number
         if tag in _by_tag:
             raise RuntimeError(f"message {number} is registered twice")
--- a/pebbledrift/control/quota.py
+++ b/pebbledrift/control/quota.py
@@ -8,6 +8,8 @@
 from enum import IntEnum
 from typing import Any
 
+from spoolpier.records import record
+
 LEAST_BURST_S = 0.25
 FIRST_SHARE = 0.3  # of a burst, to begin with: others may have lent the rest just before
 UNKNOWN_SHARE = 0.5  # of a router's part that counts as taken for the time before its restart
@@ -76,7 +78,7 @@
         return sum(tokens for at, tokens in self._taken if now - at <= span_s + HISTORY_STEP_S)
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class SpendingReport:
     """What a router has taken of each quota in the time in which its burst grows back, if it ran as long."""
 
@@ -84,7 +86,7 @@
     taken: Mapping[str, float]
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class TenantQuota:
     """A tenant's agreed rate, in tokens or requests a second."""
 
--- a/pebbledrift/core/engine.py
+++ b/pebbledrift/core/engine.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from pebbledrift import logs
-from pebbledrift.config import Limits
+from pebbledrift.bounds import Limits
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.figures import Figures
 from pebbledrift.core.model import (
--- a/pebbledrift/cores/plan.py
+++ b/pebbledrift/cores/plan.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from pebbledrift.config import Config, Limits
+from pebbledrift.bounds import Limits
+from pebbledrift.config import Config
 
 STALE_S = 0.4  # a core that has not shown itself for so long is stopped, or has far too much to do
 UNTAKEN = 8  # connections that one core has been passed and has not taken
--- a/pebbledrift/cores/supervisor.py
+++ b/pebbledrift/cores/supervisor.py
@@ -23,7 +23,8 @@
 from typing import Any
 
 from pebbledrift import inventory
-from pebbledrift.config import Config, Limits
+from pebbledrift.bounds import Limits
+from pebbledrift.config import Config
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.figures import ClassFigures, Figures
 from pebbledrift.core.states import NodeStates, State
--- a/pebbledrift/discovery/follower.py
+++ b/pebbledrift/discovery/follower.py
@@ -10,7 +10,8 @@
 from typing import Any
 
 from pebbledrift import logs
-from pebbledrift.config import Address, Config, Limits
+from pebbledrift.bounds import Limits
+from pebbledrift.config import Address, Config
 from pebbledrift.core.clock import Clock
 from pebbledrift.discovery.lines import BadObject, ObjectLines, parse_object
 from pebbledrift.discovery.reliance import PushedReliance, Reliance
--- a/pebbledrift/net/beanstalk.py
+++ b/pebbledrift/net/beanstalk.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Protocol
 
-from pebbledrift.config import Limits
+from pebbledrift.bounds import Limits
 from pebbledrift.net.ending import Ending
 
 LINE_MOST = 224  # bytes of a command line, its end included: the protocol's figure
--- a/pebbledrift/net/client_connection.py
+++ b/pebbledrift/net/client_connection.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from pebbledrift.config import Limits
+from pebbledrift.bounds import Limits
 from pebbledrift.net.arrivals import ArrivalTimes
 from pebbledrift.net.ending import Ending, LastAnswer
 from pebbledrift.net.http import SCRATCH, HttpError, HttpProtocol, Message, response
--- a/pebbledrift/net/datagrams.py
+++ b/pebbledrift/net/datagrams.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 
 from pebbledrift import logs
-from pebbledrift.config import Address, Limits
+from pebbledrift.bounds import Limits
+from pebbledrift.config import Address
 
 log = logging.getLogger(__name__)
 
--- a/pebbledrift/net/destinations.py
+++ b/pebbledrift/net/destinations.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 
 from pebbledrift import logs
-from pebbledrift.config import Address, Limits
+from pebbledrift.bounds import Limits
+from pebbledrift.config import Address
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.engine import Engine
 from pebbledrift.core.model import Attempt
--- a/pebbledrift/net/ending.py
+++ b/pebbledrift/net/ending.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 
-from pebbledrift.config import Limits
+from pebbledrift.bounds import Limits
 
 
 class Ending:
--- a/pebbledrift/net/front.py
+++ b/pebbledrift/net/front.py
@@ -9,7 +9,8 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 
-from pebbledrift.config import Address, Limits
+from pebbledrift.bounds import Limits
+from pebbledrift.config import Address
 from pebbledrift.net.client_connection import ClientConnection, Handler
 from pebbledrift.net.link import Fields
 
--- a/pebbledrift/net/http.py
+++ b/pebbledrift/net/http.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from pebbledrift.config import Limits
+from pebbledrift.bounds import Limits
 
 TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 TARGET = re.compile(r"[!-~]+\Z")
--- a/pebbledrift/net/lines.py
+++ b/pebbledrift/net/lines.py
@@ -6,7 +6,8 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-from pebbledrift.config import Address, Limits
+from pebbledrift.bounds import Limits
+from pebbledrift.config import Address
 from pebbledrift.net.ending import Ending
 
 log = logging.getLogger(__name__)
--- a/pebbledrift/router/client.py
+++ b/pebbledrift/router/client.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping
 from typing import Protocol
 
-from pebbledrift.config import Limits
+from pebbledrift.bounds import Limits
 from pebbledrift.net.http import HttpError, HttpProtocol, Message, response
 
 WAITING_MOST = 4  # requests sent in advance on one connection; beyond them nothing is read
--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Protocol
 
 from pebbledrift.cluster.boot import parse_address
@@ -19,6 +18,7 @@
 from pebbledrift.router.routes import PRIORITY_MOST, Route, Tenant
 from pebbledrift.router.upstream import Ending, Exchange, WorkerPool
 from spoolpier.interface import OutcomeKind
+from spoolpier.records import record
 
 log = logging.getLogger(__name__)
 
@@ -42,7 +42,7 @@
         """How many routers there are."""
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Admitted:
     """A request that is to be carried out."""
 
--- a/pebbledrift/router/readiness.py
+++ b/pebbledrift/router/readiness.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from pebbledrift.config import Limits
+from pebbledrift.bounds import Limits
 from pebbledrift.net.http import HttpError, HttpProtocol, Message, response
 
 PATH = "/-/ready"
--- a/pebbledrift/router/request.py
+++ b/pebbledrift/router/request.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from pebbledrift.net.http import Message
+from spoolpier.records import record
 
 REQUEST_ID = "x-pebbledrift-request-id"
 DEADLINE = "x-pebbledrift-deadline-ms"
@@ -20,7 +19,7 @@
 DEADLINE_DEFAULT_MS = 30_000.0
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Prompt:
     """What a request tells of its prompt: tokens in and out, and the parts in order."""
 
--- a/pebbledrift/router/routes.py
+++ b/pebbledrift/router/routes.py
@@ -4,14 +4,15 @@
 
 import hashlib
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any
 
+from spoolpier.records import record
+
 DEFAULT_AIM_MS = 1000.0
 PRIORITY_MOST, PRIORITY_DEFAULT = 9, 5
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Route:
     """One route."""
 
@@ -51,7 +52,7 @@
         return max(self.backends, key=lambda pair: pair[1])[0]
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Tenant:
     """One tenant, and what its requests count against its quota."""
 
@@ -70,7 +71,7 @@
         return self.uncached_tokens if tokens is None else tokens
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Backend:
     """One service."""
 
@@ -80,7 +81,7 @@
     slots: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ClientLimits:
     """What clients may send, and for how long."""
 
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable
 from typing import Any
 
+from pebbledrift.bounds import Limits
 from pebbledrift.cluster.boot import BootSettings, parse_address
 from pebbledrift.cluster.errors import BootError
 from pebbledrift.cluster.fleet_messages import TokenRequest
-from pebbledrift.config import Limits
 from pebbledrift.control.registry import Instance, InstanceState
 from pebbledrift.net.http import Message
 from pebbledrift.router import readiness, request
--- a/pebbledrift/router/upstream.py
+++ b/pebbledrift/router/upstream.py
@@ -8,8 +8,8 @@
 from enum import Enum, auto
 from typing import Protocol
 
+from pebbledrift.bounds import Limits
 from pebbledrift.cluster.boot import Address
-from pebbledrift.config import Limits
 from pebbledrift.net.http import HttpError, HttpProtocol, Message
 from pebbledrift.net.presence import peer_has_closed
 
--- a/pebbledrift/store/repair.py
+++ b/pebbledrift/store/repair.py
@@ -16,7 +16,8 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 
-from pebbledrift.config import Address, Limits
+from pebbledrift.bounds import Limits
+from pebbledrift.config import Address
 from pebbledrift.store.table import Entry, Table
 from pebbledrift.store.tree import FANOUT, LEVELS, children, node_of
 
--- a/pebbledrift/store/replica.py
+++ b/pebbledrift/store/replica.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from pebbledrift.config import Address, Limits
+from pebbledrift.bounds import Limits
+from pebbledrift.config import Address
 from pebbledrift.store.repair import SUMS, Repair, unpack_sums
 from pebbledrift.store.table import Entry, StoreError, Table, Version
 from pebbledrift.store.tree import FANOUT
--- a/pebbledrift/store/table.py
+++ b/pebbledrift/store/table.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pebbledrift.config import Limits
+from pebbledrift.bounds import Limits
 from pebbledrift.store.tree import Tree
 
 
--- a/spoolpier/__init__.py
+++ b/spoolpier/__init__.py
@@ -1,5 +1,19 @@
 """spoolpier: cache-aware decisions for dispatchers that push jobs to workers."""
 
-from spoolpier.brain import Dispatcher
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from spoolpier.brain import Dispatcher
 
 __all__ = ["Dispatcher"]
+
+
+def __getattr__(name: str) -> Any:
+    """Import the decisions when they are asked for: other processes use only small parts of the package."""
+    if name != "Dispatcher":
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    from spoolpier.brain import Dispatcher
+
+    return Dispatcher
--- a/spoolpier/interface.py
+++ b/spoolpier/interface.py
@@ -7,9 +7,10 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
 from enum import IntEnum
 
+from spoolpier.records import record
+
 PART = 40  # dispatchers that tell each other what they fill, at least: so many once were the whole fleet
 RETRIES = -1  # the limit that jobs count against which go, or come, a second time
 Report = Mapping[str, float]
@@ -73,7 +74,7 @@
     SHARE_DONE = 1
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class JobClass:
     """One class of jobs. An answer is in time within aim_ms + aim_stretch * run time."""
 
@@ -91,7 +92,7 @@
     max_runs: int = 0  # attempts of a job that may have run, at most; 0: as many as attempts
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Tenant:
     """A tenant's agreed share: a fraction of the service, and jobs a second over all dispatchers."""
 
@@ -99,7 +100,7 @@
     quota_per_s: float
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Settings:
     """What a dispatcher is handed once, at its start."""
 
@@ -158,7 +159,7 @@
             raise ValueError(f"me: must be below dispatchers ({self.dispatchers}), not {self.me}")
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class WorkerEntry:
     """One line of the worker list. started_ms is 0 for a worker that has run for long.
 
@@ -181,7 +182,7 @@
         return self.started_ms if self.begun_ms is None else self.begun_ms
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class WorkerList:
     """News of the worker list."""
 
@@ -189,7 +190,7 @@
     entries: tuple[WorkerEntry, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Arrival:
     """A job taken in. It is owed exactly one final answer within grace_ms."""
 
@@ -205,7 +206,7 @@
     limits: tuple[int, ...] = ()  # that it counts against (Allowance)
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Outcome:
     """The end of an attempt. done: the job has its final answer by this or already had it."""
 
@@ -218,7 +219,7 @@
     report: Report | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Note:
     """News of an attempt that is still out."""
 
@@ -229,7 +230,7 @@
     share: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class StreamStarted:
     """The answer of a streamed job has begun: the attempt is the client's from here on."""
 
@@ -238,7 +239,7 @@
     worker: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ProbeResult:
     """The result of one probe."""
 
@@ -248,7 +249,7 @@
     report: Report | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Share:
     """What dispatchers that are one node with this one do at a worker. A later one takes its place.
 
@@ -262,7 +263,7 @@
     spent: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Shares:
     """News of the dispatchers that are one node with this one, or of all that there are (`fleet`).
 
@@ -276,7 +277,7 @@
     guard_ms: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class CommonClock:
     """The clock that all dispatchers read alike is so far ahead of the times that step() is given.
 
@@ -286,7 +287,7 @@
     ahead_ms: float
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Verdict:
     """What all dispatchers together hold of a worker, for one class of jobs. A later one takes its place.
 
@@ -300,7 +301,7 @@
     rank: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Allowance:
     """Of a limit of all dispatchers: how many jobs this one may take in now. A later one takes its place.
 
@@ -313,28 +314,28 @@
     worth: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ClassesAdded:
     """Further classes of jobs, numbered behind those that are known."""
 
     classes: tuple[JobClass, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ClientGone:
     """The client has left: nothing more is owed for the job."""
 
     job: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Timer:
     """A wake-up asked for has come due."""
 
     mark: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class PeerMessage:
     """A message from another dispatcher."""
 
@@ -360,7 +361,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Send:
     """Begin an attempt. Attempts of a job count 0, 1, 2 ... in this order. timeout_ms 0: the client's.
 
@@ -379,7 +380,7 @@
     not_after_ms: float = math.inf
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Cancel:
     """Stop waiting for an attempt."""
 
@@ -387,7 +388,7 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Refuse:
     """Final answer: not done, and a further try is harmless."""
 
@@ -395,21 +396,21 @@
     retry_after_ms: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Fail:
     """Final answer: failed; it may have run."""
 
     job: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Probe:
     """Ask a worker for its load report."""
 
     worker: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Wake:
     """Ask for a Timer event at a time."""
 
@@ -417,12 +418,12 @@
     mark: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class WatchList:
     """Subscribe to changes of the worker list."""
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Tell:
     """Send a message to one other dispatcher."""
 
@@ -430,7 +431,7 @@
     data: bytes
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Log:
     """A line for the operators."""
 
--- a/tests/cluster/test_parser_ends.py
+++ b/tests/cluster/test_parser_ends.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pebbledrift.config import Limits
+from pebbledrift.bounds import Limits
 from pebbledrift.net.http import Parser
 
 
--- a/tests/cluster/test_router_parts.py
+++ b/tests/cluster/test_router_parts.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from pebbledrift.bounds import Limits
 from pebbledrift.cluster.fleet_messages import TokenGrant, TokenRequest
-from pebbledrift.config import Limits
 from pebbledrift.control.quota import LoanPriority
 from pebbledrift.control.registry import Instance, InstanceState
 from pebbledrift.net.http import Parser
--- a/tests/test_cores_model.py
+++ b/tests/test_cores_model.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from pebbledrift.config import Limits
+from pebbledrift.bounds import Limits
 from pebbledrift.core.model import Claim
 from pebbledrift.cores.atoms import Atoms
 from pebbledrift.cores.board import SLOT, Board, BoardFull, Seat
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 from typing import Any
 
-from pebbledrift.config import Limits
+from pebbledrift.bounds import Limits
 from pebbledrift.store.disk import Disk, DiskError
 from pebbledrift.store.replica import ASKED, TOLD, pack, pack_digest, unpack
 from pebbledrift.store.table import Entry, Table, Version
@@ -33,7 +33,7 @@
 # writes one entry after the other, and says so once each call has returned
 WRITER = """
 import sys
-from pebbledrift.config import Limits
+from pebbledrift.bounds import Limits
 from pebbledrift.store.disk import Disk
 from pebbledrift.store.table import Table
 table = Table(Limits(), 0, lambda: 1000.0)
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -8,7 +8,7 @@
 import threading
 import unittest
 
-from pebbledrift.config import Limits
+from pebbledrift.bounds import Limits
 from pebbledrift.net.client_connection import ClientConnection
 from pebbledrift.net.front import FrontServer
 from pebbledrift.net.http import Message
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -12,7 +12,8 @@
 from dataclasses import replace
 from itertools import pairwise
 
-from pebbledrift.config import Address, Config, Limits
+from pebbledrift.bounds import Limits
+from pebbledrift.config import Address, Config
 from pebbledrift.core.clock import Clock
 from pebbledrift.discovery.turns import Turns
 from pebbledrift.fleet.fills import FORM, Fills
--- a/tests/test_list_scale.py
+++ b/tests/test_list_scale.py
@@ -9,7 +9,8 @@
 from typing import Any, cast
 
 from pebbledrift import pool as pool_module
-from pebbledrift.config import Config, Limits
+from pebbledrift.bounds import Limits
+from pebbledrift.config import Config
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.engine import Engine
 from pebbledrift.fleet.neighbours import FleetNeighbours
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -15,7 +15,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pebbledrift.config import Limits
+from pebbledrift.bounds import Limits
 from pebbledrift.net.destinations import ConnectionPool, Exchange, SocketBudget
 from pebbledrift.net.http import HttpError, Message, Parser
 from pebbledrift.net.link import Link
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -12,7 +12,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pebbledrift.config import Address, Limits
+from pebbledrift.bounds import Limits
+from pebbledrift.config import Address
 from pebbledrift.store.repair import QUEUE_MOST, SUMS, Repair, pack_sums, unpack_sums
 from pebbledrift.store.replica import Replica, pack, unpack
 from pebbledrift.store.table import Entry, StoreError, Table, Version
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -15,7 +15,7 @@
 from hypothesis import settings as runs
 from hypothesis import strategies as st
 
-from pebbledrift.config import Limits
+from pebbledrift.bounds import Limits
 from pebbledrift.core.clock import Clock
 from pebbledrift.core.engine import Engine
 from pebbledrift.verdicts.evidence import (
