Decisions: brain.py split by concern behind step

workers.py (the list, room, health, cold budget), ledger.py (attempts), signatures.py (keys), state.py (worker, attempt, job), hashing.py, constants.py; brain.py keeps the dispatcher.

--- a/pebbledrift/core/view.py
+++ b/pebbledrift/core/view.py
@@ -4,7 +4,10 @@
 
 from collections import Counter
 
-from spoolpier.brain import EXCLUDED_MOST, NEVER, Dispatcher, Job, Worker, WorkerTable
+from spoolpier.brain import Dispatcher
+from spoolpier.constants import NEVER
+from spoolpier.state import Job, Worker
+from spoolpier.workers import EXCLUDED_MOST, WorkerTable
 
 
 def avoided(table: WorkerTable, now: float) -> set[int]:
--- a/pebbledrift/fleet/parts.py
+++ b/pebbledrift/fleet/parts.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass
 
 from pebbledrift.fleet.fills import HEAD, SLOT_MOST, UNIT_MS, short
-from spoolpier.brain import mix
+from spoolpier.hashing import mix
 
 FORM = 0x52  # no other kind of the peers' datagrams
 NAMED_MOST = 16  # workers: so many with room are enough to choose from, and each byte has its price
--- a/spoolpier/handover.py
+++ b/spoolpier/handover.py
@@ -5,7 +5,8 @@
 from typing import Any
 
 from spoolpier import interface as api
-from spoolpier.brain import Attempt, Dispatcher, Job, Worker
+from spoolpier.brain import Dispatcher
+from spoolpier.state import Attempt, Job, Worker
 
 FLEET = ("run_ms", "overhead", "pace")
 WORKER = ("limit", "strikes", "failed_until", "unreached", "suspended_until")
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,4 +1,4 @@
-"""One small test for each failure found or foreseen. The constants' comments in brain.py name the danger."""
+"""One small test for each failure found or foreseen. The constants' comments in spoolpier name the danger."""
 
 from __future__ import annotations
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -5,11 +5,15 @@
 import ast
 from pathlib import Path
 
-BRAIN = Path(__file__).parent.parent / "spoolpier" / "brain.py"
+PACKAGE = Path(__file__).parent.parent / "spoolpier"
+BRAIN = PACKAGE / "brain.py"
 # all that decisions may rest on beside their interface: no clock, no file, no socket, no process
 ALLOWED = frozenset(
-    "__future__ heapq math random collections collections.abc dataclasses typing spoolpier".split()
+    "__future__ heapq math random collections collections.abc dataclasses enum operator typing "
+    "spoolpier".split()
 )
+DEPLOYMENTS = ("akl", "masa", "pinehollow", "ankara", "concord", "kyushu", "riga", "ticket", "board-view")
+MOST_LINES = 400  # of one module
 
 
 def imported(source: str) -> set[str]:
@@ -20,17 +24,51 @@
             found |= {alias.name for alias in node.names}
         elif isinstance(node, ast.ImportFrom):
             found.add(node.module or ".")
+            if node.module == "spoolpier":
+                found |= {f"spoolpier.{alias.name}" for alias in node.names}
+    return found
+
+
+def decisions() -> list[Path]:
+    """All modules that the decisions consist of: what `step` rests on, through every import."""
+    found, left = list[Path](), [BRAIN]
+    while left:
+        path = left.pop()
+        if path not in found:
+            found.append(path)
+            names = [name.removeprefix("spoolpier.") for name in imported(path.read_text())]
+            left += [PACKAGE / f"{name}.py" for name in names if (PACKAGE / f"{name}.py").exists()]
     return found
 
 
 def test_the_decisions_do_no_io() -> None:
-    # in the place of a bound on lines, which the users have given up
-    assert imported(BRAIN.read_text()) <= ALLOWED
+    for path in decisions():
+        outside = {name for name in imported(path.read_text()) if not name.startswith("spoolpier.")}
+        assert outside <= ALLOWED, path
     assert imported("def f():\n    import time\n") == {"time"}
 
 
+def test_each_module_of_the_decisions_has_one_concern_and_a_bounded_length() -> None:
+    names = {path.stem for path in decisions()}
+    assert {"brain", "workers", "ledger", "signatures", "state", "hashing", "interface", "records"} <= names
+    for path in decisions():
+        if path.stem != "interface":  # types alone
+            assert len(path.read_text().splitlines()) <= MOST_LINES, path
+
+
 def test_the_module_names_its_interface_and_no_deployment() -> None:
-    text = BRAIN.read_text().lower()
-    assert "spoolpier/interface.py" in text.split('"""')[1]
-    for name in ("akl", "masa", "pinehollow", "ankara", "concord", "kyushu", "riga", "ticket", "board-view"):
-        assert name not in text
+    assert "spoolpier/interface.py" in BRAIN.read_text().lower().split('"""')[1]
+    for path in decisions():
+        text = path.read_text().lower()
+        for name in (
+            "akl",
+            "masa",
+            "pinehollow",
+            "ankara",
+            "concord",
+            "kyushu",
+            "riga",
+            "ticket",
+            "board-view",
+        ):
+            assert name not in text, path
--- a/tests/test_list_scale.py
+++ b/tests/test_list_scale.py
@@ -15,8 +15,9 @@
 from pebbledrift.core.engine import Engine
 from pebbledrift.fleet.neighbours import FleetNeighbours
 from pebbledrift.pool import PoolConfig
-from spoolpier import Dispatcher, brain
+from spoolpier import Dispatcher
 from spoolpier import interface as api
+from spoolpier.hashing import mix
 from tests.helpers import job, outcome, sends, settings
 
 SMALL, LARGE = 200, 3200  # workers: sixteen times as many
@@ -24,12 +25,18 @@
 
 def entry(worker: int, state: api.WorkerState = api.WorkerState.UP, started: float = 0.0) -> api.WorkerEntry:
     # spread as names are, so that slices of a large fleet are alike
-    number = brain.mix(worker)
+    number = mix(worker)
     return api.WorkerEntry(worker=number, weight=5.0, started_ms=started, begun_ms=started, state=state)
 
 
-def lines_run(where: str, work: Callable[..., object], *arguments: object) -> int:
-    """Lines of one source file that a call runs: its work, the same on any machine."""
+DECISIONS = tuple(
+    f"spoolpier/{name}.py"
+    for name in ("brain", "workers", "ledger", "signatures", "state", "hashing", "constants")
+)
+
+
+def lines_run(where: str | tuple[str, ...], work: Callable[..., object], *arguments: object) -> int:
+    """Lines of these source files that a call runs: its work, the same on any machine."""
     count = 0
 
     def trace(frame: FrameType, event: str, argument: Any) -> Any:
@@ -87,8 +94,8 @@
             d = self.decided(workers)
             drain = api.WorkerList(api.ListForm.DELTA, (entry(3, api.WorkerState.DRAINING),))
             begin = api.WorkerList(api.ListForm.DELTA, (entry(3, started=500.0),))
-            ran[workers] = lines_run("brain.py", d.step, 1000.0, [drain])
-            ran[workers] += lines_run("brain.py", d.step, 2000.0, [begin])
+            ran[workers] = lines_run(DECISIONS, d.step, 1000.0, [drain])
+            ran[workers] += lines_run(DECISIONS, d.step, 2000.0, [begin])
         self.assertLess(ran[LARGE], 1.5 * ran[SMALL], ran)
 
     def test_a_job_after_a_change_looks_at_its_keys_slice_alone(self) -> None:
@@ -97,7 +104,7 @@
             d = self.decided(workers)
             d.step(1000.0, [api.WorkerList(api.ListForm.DELTA, (entry(3, api.WorkerState.DRAINING),))])
             ran[workers] = max(
-                lines_run("brain.py", d.step, 1100.0 + i, [job(f"k{i}", key=i)]) for i in range(10)
+                lines_run(DECISIONS, d.step, 1100.0 + i, [job(f"k{i}", key=i)]) for i in range(10)
             )
         self.assertLess(ran[LARGE], 1.5 * ran[2 * SMALL], ran)
 
