Quota: lent by the window that it is judged by, peaks of 1.6 bursts pass

The bank now holds each quota within its window (what was lent in 8.5 s, with half of what it may be overshot by), told by the routers in half seconds when a head begins.

--- a/pebbledrift/cluster/boot.py
+++ b/pebbledrift/cluster/boot.py
@@ -28,7 +28,7 @@
     budget_window_s: float = 10.0
     retry_budget_slack: float = 0.0
     quota_window_s: float = 8.0
-    quota_overshoot: float = 0.0
+    quota_overshoot: float = 0.1
     quota_slack: float = 0.0
 
 
--- a/pebbledrift/cluster/fleet_messages.py
+++ b/pebbledrift/cluster/fleet_messages.py
@@ -108,8 +108,8 @@
 
 @message(122)
 class TokenReport:
-    """What a router that has run for `age_s` has taken of each quota while a burst grows back."""
+    """What a router that has run for `age_s` has taken of each quota, by half seconds, the newest first."""
 
     epoch: int
     age_s: float
-    taken: tuple[tuple[str, float], ...]
+    taken: tuple[tuple[str, tuple[float, ...]], ...]
--- a/pebbledrift/control/quota.py
+++ b/pebbledrift/control/quota.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
@@ -14,8 +15,12 @@
 FIRST_SHARE = 0.3  # of a burst, to begin with: others may have lent the rest just before
 UNKNOWN_SHARE = 0.5  # of a router's part that counts as taken for the time before its restart
 RESTART_S = 0.2  # a restart takes so long at least, and nothing is taken meanwhile
-HISTORY_S = 10.0  # spending is remembered for so long
-HISTORY_STEP_S = 0.05
+WINDOW_RETRY_S = 0.3  # told where the window is used up
+HISTORY_STEP_S = 0.05  # spending is counted together for so long
+SLOT_S = 0.5  # and told in slots of so long
+DEPTH = 1.6  # bursts that may be saved up: the window bounds what is lent, a short peak shall pass
+WINDOW_MARGIN_S = 0.5  # what is lent arrives at its worker later: a window reaches back so much further
+OVERSHOOT_SHARE = 0.5  # of what a quota may be overshot by, the rest is for what a new head cannot know
 
 
 class LoanPriority(IntEnum):
@@ -58,32 +63,51 @@
 
 
 class SpendingHistory:
-    """What was taken of one tenant's quota lately."""
+    """What was taken of one tenant's quota in the last `span_s` seconds."""
 
-    def __init__(self) -> None:
+    def __init__(self, span_s: float) -> None:
+        self._span_s = span_s
         self._taken: deque[tuple[float, float]] = deque()
-
-    def add(self, tokens: float, now: float) -> None:
-        """Count tokens that were taken now."""
-        if self._taken and now - self._taken[-1][0] < HISTORY_STEP_S:
-            at, before = self._taken.pop()
-            self._taken.append((at, before + tokens))
+        self._total = 0.0
+
+    def add(self, tokens: float, at: float) -> None:
+        """Count tokens that were taken at a time, not before any that were counted."""
+        self.total(at)
+        self._total += tokens
+        if self._taken and at - self._taken[-1][0] < HISTORY_STEP_S:
+            began, before = self._taken.pop()
+            self._taken.append((began, before + tokens))
         else:
-            self._taken.append((now, tokens))
-        while now - self._taken[0][0] > HISTORY_S:
-            self._taken.popleft()
-
-    def within(self, span_s: float, now: float) -> float:
-        """What was taken in the last `span_s` seconds."""
-        return sum(tokens for at, tokens in self._taken if now - at <= span_s + HISTORY_STEP_S)
+            self._taken.append((at, tokens))
+
+    def total(self, now: float) -> float:
+        """All that was taken in the span."""
+        while self._taken and now - self._taken[0][0] > self._span_s:
+            self._total -= self._taken.popleft()[1]
+        return self._total if self._taken else 0.0
+
+    def slots(self, now: float) -> tuple[float, ...]:
+        """What was taken in each half second before now, the newest first."""
+        self.total(now)
+        slots = [0.0] * math.ceil(self._span_s / SLOT_S)
+        for at, tokens in self._taken:
+            slots[min(len(slots) - 1, max(0, int((now - at) / SLOT_S)))] += tokens
+        return tuple(slots)
+
+    def replace(self, slots: Sequence[float], now: float) -> None:
+        """Take over what others told in slots."""
+        self._taken.clear()
+        self._total = 0.0
+        for index in reversed(range(len(slots))):
+            self.add(slots[index], now - (index + 0.5) * SLOT_S)
 
 
 @record
 class SpendingReport:
-    """What a router has taken of each quota in the time in which its burst grows back, if it ran as long."""
+    """What a router has taken of each quota in each half second, the newest first, since it started."""
 
     age_s: float
-    taken: Mapping[str, float]
+    taken: Mapping[str, Sequence[float]]
 
 
 @record
@@ -116,22 +140,48 @@
     return max(burst, LEAST_BURST_S * rate)
 
 
-def burst_span(rate: float, burst: float) -> float:
-    """The seconds in which a whole burst grows back: what was taken before that no longer matters."""
-    return usable_burst(rate, burst) / rate
+@record
+class QuotaWindow:
+    """How a quota is judged: over each span, with what it may be overshot by."""
+
+    span_s: float = 8.0
+    overshoot: float = 0.1
+
+    @property
+    def remembered_s(self) -> float:
+        """For how long what was taken counts."""
+        return self.span_s + WINDOW_MARGIN_S
+
+    def most(self, rate: float, burst: float) -> float:
+        """What may be lent in one window."""
+        return (rate * self.span_s + burst) * (1.0 + OVERSHOOT_SHARE * self.overshoot)
+
+
+@dataclass(slots=True)
+class _Account:
+    """One tenant's quota, what is saved up of it and what was lent lately, by us and before us."""
+
+    quota: TenantQuota
+    bucket: Bucket
+    lent: SpendingHistory
+    before: SpendingHistory
+
+    def room(self, window: QuotaWindow, now: float) -> float:
+        """What may still be lent in the window."""
+        most = window.most(self.quota.rate, self.bucket.burst / DEPTH)
+        return most - self.lent.total(now) - self.before.total(now)
 
 
 class TokenBank:
-    """The buckets of all tenants."""
+    """The accounts of all tenants: each a bucket, for peaks, under the window that the quota is judged by."""
 
-    def __init__(self) -> None:
-        self._buckets: dict[str, Bucket] = {}
-        self._lent: dict[str, float] = {}
+    def __init__(self, window: QuotaWindow) -> None:
+        self._window = window
+        self._accounts: dict[str, _Account] = {}
 
     def clear(self) -> None:
         """Begin anew, with little to lend until the routers have told what they took."""
-        self._buckets.clear()
-        self._lent.clear()
+        self._accounts.clear()
 
     def settle(self, reports: Sequence[SpendingReport], routers: int, now: float) -> None:
         """Raise what may be lent to what is left, by what the routers have taken.
@@ -139,40 +189,72 @@
         Whoever has not told counts with its equal part. So does, by half, one that does not know what it took
         before its restart: at worst the rest is lent twice, well within what a quota may be overshot by.
         """
-        for name, bucket in self._buckets.items():
-            span = burst_span(bucket.rate, bucket.burst)
-            part = bucket.burst / max(1, routers, len(reports))
-            taken = self._lent.get(name, 0.0) + max(0, routers - len(reports)) * part
-            for report in reports:
-                unknown = max(0.0, 1.0 - (report.age_s + RESTART_S) / span)
-                taken += report.taken.get(name, 0.0) + UNKNOWN_SHARE * unknown * part
+        for name, account in self._accounts.items():
+            taken = self._taken_before(name, account.quota.rate, reports, routers)
+            account.before.replace(taken, now)
+            bucket = account.bucket
             bucket.refill(now)
-            bucket.level = max(bucket.level, bucket.burst - taken)
+            recent = _sum_of_first(taken, bucket.burst / bucket.rate / SLOT_S) + account.lent.total(now)
+            bucket.level = max(bucket.level, bucket.burst - recent)
+
+    def _taken_before(
+        self, name: str, rate: float, reports: Sequence[SpendingReport], routers: int
+    ) -> list[float]:
+        """What all routers together took in each slot."""
+        part = rate * SLOT_S / max(1, routers, len(reports))
+        silent = max(0, routers - len(reports)) * part
+        slots = [silent] * math.ceil(self._window.remembered_s / SLOT_S)
+        for report in reports:
+            taken = report.taken.get(name, ())
+            known = (report.age_s + RESTART_S) / SLOT_S
+            for index in range(len(slots)):
+                unknown = min(1.0, max(0.0, index + 1 - known))
+                told = taken[index] if index < len(taken) else 0.0
+                slots[index] += told + UNKNOWN_SHARE * unknown * part
+        return slots
 
     def configure(self, quotas: Iterable[TenantQuota], now: float) -> None:
         """Follow a configuration."""
-        buckets = {}
+        accounts = {}
         for quota in quotas:
-            known = self._buckets.get(quota.name)
-            if known is None:
-                burst = usable_burst(quota.rate, quota.burst)
-                known = Bucket(quota.rate, burst, FIRST_SHARE * burst, now)
-            else:
-                known.refill(now)
-                known.rate, known.burst = quota.rate, usable_burst(quota.rate, quota.burst)
-                known.level = min(known.level, known.burst)
-            buckets[quota.name] = known
-        self._buckets = buckets
+            depth = DEPTH * usable_burst(quota.rate, quota.burst)
+            account = self._accounts.get(quota.name) or self._open(quota, depth, now)
+            bucket = account.bucket
+            bucket.refill(now)
+            bucket.rate, bucket.burst, account.quota = quota.rate, depth, quota
+            bucket.level = min(bucket.level, depth)
+            accounts[quota.name] = account
+        self._accounts = accounts
+
+    def _open(self, quota: TenantQuota, depth: float, now: float) -> _Account:
+        """A new account: as if the whole rate had been taken all the time before."""
+        remembered = self._window.remembered_s
+        before = SpendingHistory(remembered)
+        before.replace([quota.rate * SLOT_S] * int(remembered / SLOT_S), now)
+        bucket = Bucket(quota.rate, depth, FIRST_SHARE * depth, now)
+        return _Account(quota, bucket, SpendingHistory(remembered), before)
 
     def lend(
         self, tenant: str, need: float, want: float, now: float, priority: LoanPriority
     ) -> tuple[float, float]:
         """What is lent, and after how long there may be enough."""
-        bucket = self._buckets.get(tenant)
-        if bucket is None:
+        account = self._accounts.get(tenant)
+        if account is None:
             return 0.0, 1.0
+        bucket = account.bucket
         bucket.refill(now)
-        keep = RESERVES[priority] * bucket.burst
-        granted = bucket.take(need, want, keep)
-        self._lent[tenant] = self._lent.get(tenant, 0.0) + granted
+        keep = RESERVES[priority] * bucket.burst / DEPTH
+        room = account.room(self._window, now) - keep
+        if room < need and bucket.burst > need:
+            return 0.0, WINDOW_RETRY_S
+        granted = bucket.take(need, min(want, max(need, room)), keep)
+        if granted:
+            account.lent.add(granted, now)
         return granted, 0.0 if granted else bucket.wait_for(need + keep)
+
+
+def _sum_of_first(slots: Sequence[float], count: float) -> float:
+    """The sum of the first slots, of the last one by its part."""
+    whole = int(count)
+    partial = slots[whole] * (count - whole) if whole < len(slots) else 0.0
+    return sum(slots[:whole]) + partial
--- a/pebbledrift/keeper/lending.py
+++ b/pebbledrift/keeper/lending.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from pebbledrift.cluster.fleet_messages import TokenGrant, TokenReport, TokenRequest
-from pebbledrift.control.quota import LoanPriority, SpendingReport, TokenBank, quotas_of
+from pebbledrift.control.quota import LoanPriority, QuotaWindow, SpendingReport, TokenBank, quotas_of
 
 REPORTS_S = 2.0  # routers tell a new bank what they took within so long
 REPORTS_WAIT_S = 0.1  # and so long it waits for those that are connected
@@ -15,8 +15,8 @@
 class LendingDesk:
     """Lends tokens while this keeper is the head of the chain."""
 
-    def __init__(self) -> None:
-        self._bank = TokenBank()
+    def __init__(self, window: QuotaWindow) -> None:
+        self._bank = TokenBank(window)
         self._epoch = 0
         self._was_head = False
         self._cleared_at = 0.0
--- a/pebbledrift/keeper/service.py
+++ b/pebbledrift/keeper/service.py
@@ -28,6 +28,7 @@
 )
 from pebbledrift.cluster.transport import Channel, Hello, serve
 from pebbledrift.control.orders import Judgement, Order
+from pebbledrift.control.quota import QuotaWindow
 from pebbledrift.control.registry import Instance
 from pebbledrift.keeper.disk import DiskWriter
 from pebbledrift.keeper.instance_store import InstanceStore
@@ -69,7 +70,7 @@
         self.network.router_joined = self._router_joined
         store = InstanceStore(self.storage.folder) if self.storage is not None else None
         self.workers = WorkerDesk(self.network, boot.heartbeat_ms / 1000, store)
-        self.lending = LendingDesk()
+        self.lending = LendingDesk(QuotaWindow(boot.bounds.quota_window_s, boot.bounds.quota_overshoot))
         self._loads: dict[Channel, dict[str, float]] = {}
         self._state_at = 0.0
         self._told: tuple[Any, ...] = ()
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -13,6 +13,7 @@
 from pebbledrift.cluster.boot import BootSettings, parse_address
 from pebbledrift.cluster.errors import BootError
 from pebbledrift.cluster.fleet_messages import TokenRequest
+from pebbledrift.control.quota import QuotaWindow
 from pebbledrift.control.registry import Instance, InstanceState
 from pebbledrift.net.http import Message
 from pebbledrift.router import readiness, request
@@ -52,7 +53,8 @@
             self._granted,
             lambda epoch: self.purse.report(epoch),
         )
-        self.purse = TokenPurse(self)
+        bounds = boot.bounds
+        self.purse = TokenPurse(self, QuotaWindow(bounds.quota_window_s, bounds.quota_overshoot))
         self.pool = WorkerPool(_upstream_limits())
         self.pools: dict[str, WorkerPools] = {}
         self.budgets: dict[str, RetryBudget] = {}
--- a/pebbledrift/router/tokens.py
+++ b/pebbledrift/router/tokens.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple, Protocol
 
 from pebbledrift.cluster.fleet_messages import TokenGrant, TokenReport, TokenRequest
-from pebbledrift.control.quota import Bucket, LoanPriority, SpendingHistory, burst_span
+from pebbledrift.control.quota import Bucket, LoanPriority, QuotaWindow, SpendingHistory
 from pebbledrift.router.routes import Tenant
 
 LOAN_S = 1.5  # what was lent and not used by then is void
@@ -46,6 +46,7 @@
     """What is lent to us of one tenant's quota."""
 
     tenant: Tenant
+    taken: SpendingHistory
     balance: float = 0.0
     void_at: float = 0.0
     denied: dict[LoanPriority, _Denial] = field(default_factory=dict)
@@ -53,7 +54,6 @@
     demand: float = 0.0  # tokens a second asked of us, of late
     demand_at: float = 0.0
     fallback: Bucket | None = None
-    taken: SpendingHistory = field(default_factory=SpendingHistory)
 
     def priority(self, cost: float, urgent: bool) -> LoanPriority:
         """Which requests this one goes before where the quota runs out."""
@@ -95,8 +95,9 @@
 class TokenPurse:
     """Takes what requests cost, or says after how long to come back."""
 
-    def __init__(self, lender: Lender) -> None:
+    def __init__(self, lender: Lender, window: QuotaWindow | None = None) -> None:
         self._lender = lender
+        self._window = window or QuotaWindow()
         self._loop = asyncio.get_running_loop()
         self._wallets: dict[str, _Wallet] = {}
         self._waiting: dict[int, _Waiting] = {}
@@ -110,20 +111,20 @@
         wallets = {}
         for tenant in tenants:
             if tenant.limited:
-                wallet = self._wallets.get(tenant.name) or _Wallet(tenant)
+                wallet = self._wallets.get(tenant.name) or self._open(tenant)
                 if wallet.tenant.rate != tenant.rate:
                     wallet.fallback, wallet.balance = None, min(wallet.balance, tenant.rate * AHEAD_S)
                 wallet.tenant = tenant
                 wallets[tenant.name] = wallet
         self._wallets = wallets
 
+    def _open(self, tenant: Tenant) -> _Wallet:
+        return _Wallet(tenant, SpendingHistory(self._window.remembered_s))
+
     def report(self, epoch: int) -> TokenReport:
         """What was taken of the quotas lately: a keeper that begins to lend cannot know it."""
         now = self._loop.time()
-        taken = []
-        for name, wallet in self._wallets.items():
-            span = burst_span(wallet.tenant.rate, wallet.tenant.burst)
-            taken.append((name, wallet.taken.within(span, now)))
+        taken = [(name, wallet.taken.slots(now)) for name, wallet in self._wallets.items()]
         return TokenReport(epoch, now - self._started, tuple(taken))
 
     def take(
