--- a/pebbledrift/router/tokens.py
+++ b/pebbledrift/router/tokens.py
@@ -18,6 +18,8 @@
 DENIED_MOST_S = 1.0
 SMALL_PART = 0.2  # a request that costs less than this part of the tenant's average is small
 AVERAGE_STEP = 0.05  # weight of one more request in that average
+FALLBACK_BURST_S = 0.3  # without a keeper, what so much time brings may be saved up
+FALLBACK_LEAST = 0.25  # of its equal part, a router takes so much at least
 FALLBACK_IDLE_S = 0.7  # a fixed share that was not used for so long begins anew
 
 
@@ -221,17 +223,28 @@
             self._fall_back(waiting.wallet, waiting.cost, waiting.decided)
 
     def _fall_back(self, wallet: _Wallet, cost: float, decided: Callable[[float | None], None]) -> None:
-        """Without a keeper: of the quota, one equal share of all routers."""
+        """Without a keeper: go on at the rate that this router had before."""
         now = self._loop.time()
-        routers = max(1, self._lender.routers())
-        rate = wallet.tenant.rate / routers
         if wallet.fallback is None or now - wallet.fallback.at > FALLBACK_IDLE_S:
             # nothing is saved up for it: the keeper that lent until now has lent all there was
-            wallet.fallback = Bucket(rate, cost, cost / 2, now)
-        wallet.fallback.rate, wallet.fallback.burst = rate, cost
-        wallet.fallback.refill(now)
-        if wallet.fallback.take(cost, cost):
+            wallet.fallback = Bucket(self._fallback_rate(wallet, now), cost, cost / 2, now)
+        bucket = wallet.fallback
+        bucket.burst = max(cost, FALLBACK_BURST_S * bucket.rate)
+        bucket.refill(now)
+        if bucket.take(cost, cost):
             wallet.taken.add(cost, now)
             decided(None)
         else:
-            decided(min(wallet.fallback.wait_for(cost), DENIED_MOST_S))
+            decided(min(bucket.wait_for(cost), DENIED_MOST_S))
+
+    def _fallback_rate(self, wallet: _Wallet, now: float) -> float:
+        """What this router took of late: all of them together took what the quota allows.
+
+        One that has just started takes its equal part, and each a little of that to begin something new.
+        """
+        part = wallet.tenant.rate / max(1, self._lender.routers())
+        age = now - self._started
+        if age < self._window.span_s / 2:
+            return part
+        taken = wallet.taken.total(now) / min(age, self._window.remembered_s)
+        return max(min(taken, wallet.tenant.rate), FALLBACK_LEAST * part)
--- a/tests/cluster/test_router_parts.py
+++ b/tests/cluster/test_router_parts.py
@@ -211,6 +211,24 @@
     assert 0.8 * 800 < spent <= 8 * TENANT.rate / 10 + 20.0
 
 
+def test_without_a_keeper_a_busy_router_goes_on_at_the_rate_that_it_had(clock: Clock) -> None:
+    purse, lender = make_purse()
+    for _ in range(80):  # 200 tokens a second: twice the equal part of ten routers
+        purse.take(TENANT, 20.0, False, lambda wait: None)
+        if lender.asked:
+            purse.granted(TokenGrant(lender.asked.pop().number, 3, "t", 20.0, 0.0))
+        clock.advance(0.1)
+    lender.reachable = False
+    clock.advance(2.0)  # what was lent ahead is void
+    spent = 0.0
+    for _ in range(200):
+        decided: list[float | None] = []
+        purse.take(TENANT, 20.0, False, decided.append)
+        spent += 20.0 if decided == [None] else 0.0
+        clock.advance(0.02)
+    assert 1.2 * 4 * TENANT.rate / 10 < spent <= 2 * 4 * TENANT.rate / 10 + 80.0
+
+
 class Recorder:
     """Stands for a placement."""
 
