--- a/tests/cluster/scenario.py
+++ b/tests/cluster/scenario.py
@@ -2,7 +2,7 @@
 
 start A B C            founders, by address
 run 1.5                seconds go by
-order NAME at A: REVISION on BASE
+order NAME at A: REVISION on BASE        (order NAME at A: next: above the newest that any replica has)
 read NAME at A
 expect NAME taken|conflict|unclear
 expect A revision N    what the replica at A has committed
@@ -11,6 +11,7 @@
 cut A from B C | heal | loss 0.2
 stall A for 3          its disk answers nothing
 kept A                 all that was acknowledged is held at A
+consistent             no two changes taken on one base, none refused and in force
 """
 
 from __future__ import annotations
@@ -39,6 +40,7 @@
         self._seed = seed
         self._cluster: Cluster | None = None
         self._calls: dict[str, Call] = {}
+        self._revision = 0  # the newest that was drawn for an order
         self._steps: dict[str, Callable[[list[str]], None]] = {
             "start": self._start,
             "run": lambda words: self.cluster.run(float(words[0])),
@@ -54,6 +56,7 @@
             "loss": self._loss,
             "stall": self._stall,
             "kept": lambda words: self.cluster.check_kept(_address(words[0])),
+            "consistent": lambda words: self._consistent(),
         }
 
     @property
@@ -81,8 +84,13 @@
         self._cluster = Cluster([_address(word) for word in words], self._seed)
 
     def _order(self, words: list[str]) -> None:
-        name, _, at, revision, _, base = words
-        order = change(int(revision), int(base), name)
+        name, _, at, *version = words
+        if version == ["next"]:
+            base = max((r.log.state.revision for r in self.cluster.replicas.values()), default=0)
+            self._revision = max(self._revision, base) + 1
+            order = change(self._revision, base, name)
+        else:
+            order = change(int(version[0]), int(version[2]), name)
         self._calls[name] = self.cluster.order(_address(at.rstrip(":")), order)
 
     def _read(self, words: list[str]) -> None:
@@ -105,6 +113,14 @@
         assert sorted(map(_letter, view.members)) == sorted(members), f"found {view.members}"
         assert sorted(map(_letter, view.chain_nodes)) == sorted(chain), f"found {view.chain_nodes}"
 
+    def _consistent(self) -> None:
+        accepted = [order.base for order in set(self.cluster.acknowledged())]
+        assert len(accepted) == len(set(accepted)), "two changes on one base"
+        refused = [c for c in self.cluster.calls if c.judgement and c.judgement.verdict == Verdict.CONFLICT]
+        for replica in self.cluster.replicas.values():
+            in_force = [c for c in refused if c.order and c.order.digest in replica.log.state.taken]
+            assert not in_force, f"refused and in force: {in_force[0].order}"
+
     def _loss(self, words: list[str]) -> None:
         self.cluster.loss = float(words[0])
 
