Tests: a late second answer is waited out by a rest that no load can use up

Cause: the test ran with the 40 ms for which a connection rests. The rest is a minute now, and that the second request has a connection of its own is asserted.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -194,11 +194,14 @@
             writer.write(surplus)
 
         self.server = await asyncio.start_server(serve_twice, *self.address)
-        pool = ConnectionPool(self.address, LIMITS, SocketBudget(LIMITS))
+        # a rest that this loop, however loaded, does not sit out between the two requests
+        limits = replace(LIMITS, settle_ms=60_000.0, idle_ms=120_000.0)
+        pool = ConnectionPool(self.address, limits, SocketBudget(limits))
         for _ in range(2):
             message, kind = await self.ask(pool)
             assert message is not None
             self.assertEqual((kind, message.status), (api.OutcomeKind.SERVED, 202))
+        self.assertEqual(len(self.writers), 2, "the second went out on a connection of its own")
 
     async def test_what_the_node_itself_is_short_of_says_nothing_of_the_worker(self) -> None:
         pool = ConnectionPool(self.address, LIMITS, SocketBudget(LIMITS))
