--- a/pebbledrift/router/placement.py
+++ b/pebbledrift/router/placement.py
@@ -138,6 +138,11 @@
         self._instances[number] = instance
         return number
 
+    def failing(self) -> set[str]:
+        """Ids of the instances that failed here of late and get nothing now."""
+        numbers = self._dispatcher.left_alone(self._now_ms())
+        return {self._instances[number].id for number in numbers if number in self._instances}
+
     def forget(self, instance: Instance) -> None:
         """An instance has ended and nothing of ours is with it any more."""
         number = self._numbers.pop(instance.id, None)
--- a/pebbledrift/router/pools.py
+++ b/pebbledrift/router/pools.py
@@ -20,6 +20,7 @@
 AVERAGE_S = 6.0  # the time over which running streams are averaged
 SHORT_MOST = 0.5  # share of the workers that is ever kept for short prompts
 SEEN_S = 20.0  # a kind of request that did not come for so long needs no workers of its own
+AVOID_S = 6.0  # a worker that failed here is not among those kept for short prompts for so long
 SHRINK_BELOW = 0.7  # of a worker less is needed before one is given back
 
 
@@ -57,6 +58,7 @@
         self._running = RunningAverage(self._loop.time())
         self._seen = {True: -math.inf, False: -math.inf}
         self._short_workers = 0
+        self._avoided: dict[str, float] = {}  # by instance: until when
 
     @property
     def divides(self) -> bool:
@@ -95,13 +97,33 @@
 
     def divide(self, running: float | None) -> None:
         """Divide the workers by what runs at all routers; None: that is not known, all stays as it is."""
-        if not self._is_model or running is None:
+        if not self._is_model:
+            return
+        if self._note_failing():
+            self._tell()
+        if running is None:
             return
         wanted = self._wanted(len(self._ready()), SPARE * running / self._slots)
         if wanted != self._short_workers:
             self._short_workers = wanted
             self._tell()
 
+    def _note_failing(self) -> bool:
+        """Follow which workers fail here; returns whether that has changed."""
+        now = self._loop.time()
+        before = set(self._avoided)
+        failing = self.short.failing() | self.long.failing()
+        self._avoided = {name: until for name, until in self._avoided.items() if until > now}
+        self._avoided.update(dict.fromkeys(failing, now + AVOID_S))
+        return set(self._avoided) != before
+
+    def _kept_for_short(self) -> list[Instance]:
+        """The workers kept for short prompts: the first that do not fail here, or without any, of all."""
+        ready = self._ready()
+        count = min(self._short_workers, max(0, len(ready) - 1))
+        sound = [instance for instance in ready if instance.id not in self._avoided]
+        return (sound if len(sound) > count else ready)[:count]
+
     def _wanted(self, workers: int, need: float) -> int:
         """Workers for short prompts: none where only one kind of request comes, and with some inertia."""
         now = self._loop.time()
@@ -117,14 +139,14 @@
         if not self._is_model:
             self.long.follow(self._instances)
             return
-        ready = self._ready()
-        count = min(self._short_workers, max(0, len(ready) - 1))
-        if count == 0:
+        ready, kept = self._ready(), self._kept_for_short()
+        if not kept:
             self.short.follow(ready)
             self.long.follow(ready)
         else:
-            self.short.follow(ready[:count])
-            self.long.follow(ready[count:])
+            names = {instance.id for instance in kept}
+            self.short.follow(kept)
+            self.long.follow([instance for instance in ready if instance.id not in names])
 
 
 def _rank(instance: str) -> bytes:
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import secrets
 import signal
 from collections.abc import Callable
@@ -31,7 +32,9 @@
 
 SWEEP_S = 0.5
 STARTUP_S = 0.6  # a start takes about so long from the first request that can be read
+LEAVING_RETRY_S = "0.05"  # another router takes it
 STARTUP_RETRY_S = 0.2  # Retry-After, at least, while the configuration is not known
+LEAVE_MOST_S = 2.5  # the platform has seen twice by then that the router is not ready
 CLOSE_BEFORE_GRACE_S = 0.7  # what is still open so long before the end of the grace is given up
 BACKLOG = 1024
 
@@ -61,6 +64,7 @@
         self._number = 0
         self._stopping = asyncio.Event()
         self._closing = False
+        self._refuse_from = math.inf  # while leaving: what is read later than that could not be finished
         self._listening_since = 0.0
         self._was_started = False
         self._mismatched: dict[str, None] = {}
@@ -90,7 +94,7 @@
         """Answer what was read; connections end with their answers, idle ones a moment later."""
         self._closing = True
         end = self.loop.time() + max(0.5, self.boot.bounds.grace_s - CLOSE_BEFORE_GRACE_S)
-        leave = self.loop.time() + min(2.5, self.boot.bounds.grace_s / 3)
+        leave = self._refuse_from = self.loop.time() + min(LEAVE_MOST_S, self.boot.bounds.grace_s / 3)
         while self.loop.time() < end:
             now = self.loop.time()
             for client in list(self.clients):
@@ -191,6 +195,9 @@
         """A request was read."""
         arrived = self.loop.time()
         table = self.table
+        if arrived > self._refuse_from:
+            client.answer(503, {"Retry-After": LEAVING_RETRY_S}, b"")
+            return None
         if table is None or not self._started():
             client.answer(503, {"Retry-After": self._startup_retry()}, b"")
             return None
--- a/spoolpier/brain.py
+++ b/spoolpier/brain.py
@@ -96,6 +96,10 @@
         self.set_wake()
         return self.ledger.actions
 
+    def left_alone(self, now_ms: float) -> set[int]:
+        """Workers that failed of late and get no job of any class now."""
+        return {w.id for w in self.table.workers.values() if w.up and w.suspended_until > now_ms}
+
     def on_list(self, event: api.WorkerList) -> None:
         """News of the list; in ask mode it also answers the subscription."""
         if event.form is api.ListForm.FAILED:
--- a/tests/cluster/test_processes.py
+++ b/tests/cluster/test_processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import signal
 import threading
@@ -134,6 +135,31 @@
     assert process.wait(10.0) == 0
 
 
+def test_what_is_read_long_after_sigterm_is_refused_at_once(fleet: Fleet) -> None:
+    fleet.workers[0].event_pause_s = 1.2
+
+    def ask() -> None:
+        with contextlib.suppress(http.client.IncompleteRead):  # it may reach the end of the grace
+            fleet.request(0, "/stream/1")
+
+    asking = threading.Thread(target=ask)
+    asking.start()
+    wait_for(lambda: bool(fleet.workers[0].requests), "the request is at the worker")
+    fleet.processes[fleet.routers[0]].send_signal(signal.SIGTERM)
+    answers: list[tuple[int, dict[str, str]]] = []
+
+    def refused() -> bool:
+        status, headers, _ = fleet.request(0, "/plain/x")
+        answers.append((status, headers))
+        return status != 200
+
+    wait_for(refused, "a request is not taken any more")
+    asking.join(10.0)
+    status, headers = answers[-1]
+    assert status == 503 and float(headers["retry-after"]) < 1 and headers["connection"] == "close"
+    assert [status for status, _ in answers[:-1]] == [200] * (len(answers) - 1)
+
+
 def test_a_client_that_leaves_takes_its_request_from_the_worker(fleet: Fleet) -> None:
     worker = fleet.workers[0]
     worker.event_pause_s = 0.2
--- a/tests/cluster/test_router_parts.py
+++ b/tests/cluster/test_router_parts.py
@@ -234,6 +234,10 @@
 
     def __init__(self) -> None:
         self.workers: list[str] = []
+        self.fails: set[str] = set()
+
+    def failing(self) -> set[str]:
+        return self.fails
 
     def follow(self, instances: list[Instance]) -> None:
         self.workers = [instance.id for instance in instances]
@@ -276,3 +280,29 @@
     divided.choose(200.0)
     divided.divide(4.0)
     assert len(short.workers) == len(long.workers) == 4
+
+
+def test_a_worker_that_fails_is_not_kept_for_short_prompts(clock: Clock) -> None:
+    divided, long, short = make_pools(6)
+    divided.choose(9000.0), divided.choose(200.0)
+    divided.divide(2.0)
+    first = list(short.workers)
+    assert len(first) == 1 and first[0] not in long.workers
+    short.fails = set(first)
+    divided.divide(2.0)
+    second = list(short.workers)
+    assert len(second) == 1 and second != first and first[0] in long.workers
+    short.fails = set()  # it is another's now and not tried here
+    divided.divide(2.0)
+    assert short.workers == second
+    clock.advance(pools.AVOID_S + 0.1)
+    divided.divide(2.0)
+    assert short.workers == first
+
+
+def test_where_all_workers_fail_some_are_kept_all_the_same(clock: Clock) -> None:
+    divided, long, short = make_pools(3)
+    divided.choose(9000.0), divided.choose(200.0)
+    long.fails = {"i0", "i1", "i2"}
+    divided.divide(2.0)
+    assert len(short.workers) == 1 and len(long.workers) == 2
