--- a/pebbledrift/router/upstream.py
+++ b/pebbledrift/router/upstream.py
@@ -89,8 +89,12 @@
         self._foreign = not exchange.listener.head(message)
 
     def fed(self) -> None:
-        if self._message is not None:
-            self._deliver(self.parser.ended)
+        if self._message is None:
+            return
+        ended = self.parser.ended
+        self._deliver(ended)
+        if ended and self.parser.buffer and not self.closed:
+            self.feed(b"")  # the next answer came together with the end of this one
 
     def _deliver(self, ended: bool) -> None:
         message, exchange = self._message, self.exchange
