--- a/pebbledrift/router/tokens.py
+++ b/pebbledrift/router/tokens.py
@@ -16,6 +16,7 @@
 AHEAD_S = 0.25  # of its own demand, a router borrows for so long ahead
 DEMAND_SHARE = 0.1  # weight of a new second in the demand
 DENIED_MOST_S = 1.0
+RETRY_LEAST_S = 0.05  # told at least, where a request is refused
 SMALL_PART = 0.2  # a request that costs less than this part of the tenant's average is small
 AVERAGE_STEP = 0.05  # weight of one more request in that average
 FALLBACK_BURST_S = 0.3  # without a keeper, what so much time brings may be saved up
@@ -150,7 +151,7 @@
             decided(None)
             self._borrow_ahead(wallet, cost)
         elif (wait := wallet.wait(cost, priority, now)) > 0:
-            decided(wait)
+            decided(max(wait, RETRY_LEAST_S))
         else:
             self._borrow(wallet, cost, priority, decided)
 
@@ -215,7 +216,7 @@
             wallet.balance -= waiting.cost
             waiting.decided(None)
         else:
-            waiting.decided(max(retry_after, 0.05))
+            waiting.decided(max(retry_after, RETRY_LEAST_S))
 
     def _unanswered(self, number: int) -> None:
         waiting = self._waiting.pop(number, None)
@@ -235,7 +236,7 @@
             wallet.taken.add(cost, now)
             decided(None)
         else:
-            decided(min(bucket.wait_for(cost), DENIED_MOST_S))
+            decided(max(RETRY_LEAST_S, min(bucket.wait_for(cost), DENIED_MOST_S)))
 
     def _fallback_rate(self, wallet: _Wallet, now: float) -> float:
         """What this router took of late: all of them together took what the quota allows.
