--- a/spoolpier/records.py
+++ b/spoolpier/records.py
@@ -1,7 +1,7 @@
 """Value classes that are cheap to define.
 
 A frozen data class writes and compiles eight functions when it is defined: 1.4 ms, where a record takes
-0.5 ms. Messages and events are over a hundred classes, and a process that restarts serves nobody until all
+0.5 ms. Messages and events are over eighty classes, and a process that restarts serves nobody until they
 are defined.
 """
 
