Reading the change: a dial-back told during an attempt counts, a burst is derived from its quota

A keeper that was told to dial at once while an attempt was failing forgot it, and waited out its pause. The bank worked a quota's burst back out of its bucket's depth. Tests unchanged.

--- a/pebbledrift/cluster/transport.py
+++ b/pebbledrift/cluster/transport.py
@@ -156,6 +156,7 @@
         pause = RETRY_S
         while True:
             ended = loop.create_future()
+            self._retry_now.clear()  # one that comes while we try counts for the pause behind it
             try:
                 async with asyncio.timeout(CONNECT_S):
                     await loop.create_connection(partial(self._make, ended), *self.address)
@@ -165,7 +166,6 @@
                 pause = RETRY_S
                 await ended
             self.channel = None
-            self._retry_now.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(pause):
                     await self._retry_now.wait()
--- a/pebbledrift/control/quota.py
+++ b/pebbledrift/control/quota.py
@@ -166,9 +166,14 @@
     lent: SpendingHistory
     before: SpendingHistory
 
+    @property
+    def burst(self) -> float:
+        """What the quota lets be saved up; the bucket is deeper."""
+        return usable_burst(self.quota.rate, self.quota.burst)
+
     def room(self, window: QuotaWindow, now: float) -> float:
         """What may still be lent in the window."""
-        most = window.most(self.quota.rate, self.bucket.burst / DEPTH)
+        most = window.most(self.quota.rate, self.burst)
         return most - self.lent.total(now) - self.before.total(now)
 
 
@@ -243,7 +248,7 @@
             return 0.0, 1.0
         bucket = account.bucket
         bucket.refill(now)
-        keep = RESERVES[priority] * bucket.burst / DEPTH
+        keep = RESERVES[priority] * account.burst
         room = account.room(self._window, now) - keep
         if room < need and bucket.burst > need:
             return 0.0, WINDOW_RETRY_S
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -32,7 +32,7 @@
 
 SWEEP_S = 0.5
 STARTUP_S = 0.6  # a start takes about so long from the first request that can be read
-LEAVING_RETRY_S = "0.05"  # another router takes it
+LEAVING_RETRY_S = 0.05  # another router takes it
 STARTUP_RETRY_S = 0.2  # Retry-After, at least, while the configuration is not known
 LEAVE_MOST_S = 2.5  # the platform has seen twice by then that the router is not ready
 CLOSE_BEFORE_GRACE_S = 0.7  # what is still open so long before the end of the grace is given up
@@ -196,7 +196,7 @@
         arrived = self.loop.time()
         table = self.table
         if arrived > self._refuse_from:
-            client.answer(503, {"Retry-After": LEAVING_RETRY_S}, b"")
+            client.answer(503, {"Retry-After": f"{LEAVING_RETRY_S:.3f}"}, b"")
             return None
         if table is None or not self._started():
             client.answer(503, {"Retry-After": self._startup_retry()}, b"")
