--- a/pebbledrift/cluster/roles.py
+++ b/pebbledrift/cluster/roles.py
@@ -13,6 +13,7 @@
 from pebbledrift.cluster.errors import BootError
 
 EXIT_SETTINGS = 2
+DISKLESS_START_S = 1.0  # nobody waits for a keeper without a disk: the router beside it starts first
 Role = Callable[[boot.BootSettings, Callable[[], boot.BootSettings]], Coroutine[Any, Any, None]]
 
 
@@ -23,6 +24,8 @@
 
 
 async def _keeper(settings: boot.BootSettings, reload: Callable[[], boot.BootSettings]) -> None:
+    if settings.data_dir is None:
+        await asyncio.sleep(DISKLESS_START_S)
     from pebbledrift.keeper.service import Keeper
 
     await Keeper(settings).run()
