--- a/pebbledrift/chain/link.py
+++ b/pebbledrift/chain/link.py
@@ -86,6 +86,11 @@
         """The epoch of the view in force; 0 without one."""
         return 0 if self.agreement.view is None else self.agreement.view.epoch
 
+    @property
+    def synced(self) -> int:
+        """The sequence up to which the log is known to be on the disk, in this epoch."""
+        return self._synced
+
     @property
     def established(self) -> bool:
         """Whether the chain of the present view has committed something: all of it has all before."""
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -156,11 +156,14 @@
 class Fleet:
     """Keepers and routers as processes, each at a loopback address of its own."""
 
-    def __init__(self, keepers: int, routers: int, folder: Path, first: int = 10) -> None:
+    def __init__(
+        self, keepers: int, routers: int, folder: Path, first: int = 10, relayed: bool = False
+    ) -> None:
         self.folder = folder
         self.keepers = [f"127.0.1.{first + number}" for number in range(keepers)]
         self.routers = [f"127.0.2.{first + number}" for number in range(routers)]
-        every = [*self.keepers, *self.routers]
+        self.hidden = {h: h.replace("127.0.1.", "127.0.4.") for h in self.keepers} if relayed else {}
+        every = [*self.keepers, *self.routers, *self.hidden.values()]
         self.front, self.readiness, self.control_port, self.internal = _free_ports(every, PORTS)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.workers: list[Worker] = []
@@ -194,10 +197,12 @@
         role = "keeper" if address in self.keepers else "router"
         path = self.folder / f"{address}.json"
         path.write_text(json.dumps(self.settings(address, role)))
+        hidden = self.hidden.get(address, "")
+        program = ["rig.hidden_keeper"] if hidden else ["pebbledrift", role]
         self.processes[address] = subprocess.Popen(
-            [sys.executable, "-m", "pebbledrift", role],
+            [sys.executable, "-m", *program],
             cwd=ROOT,
-            env={**os.environ, "PEBBLEDRIFT_BOOT": str(path)},
+            env={**os.environ, "PEBBLEDRIFT_BOOT": str(path), "PEBBLEDRIFT_HIDDEN_HOST": hidden},
             stderr=(self.folder / f"{address}.log").open("ab"),
         )
 
--- a/tests/cluster/test_worst_processes.py
+++ b/tests/cluster/test_worst_processes.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import http.client
+import random
 import shutil
 import signal
 import threading
+import time
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -13,10 +15,16 @@
 import pytest
 
 from rig.fleet import Fleet, example_config, wait_for
+from rig.keeper_links import KeeperLinks
 
 pytestmark = pytest.mark.xdist_group("processes")
 
 CHANGES = 600
+CUT_S = 6.0  # `long` plays twenty
+ROUTES, PREFIX_BYTES = 300, 200  # of a large configuration: 120 KB of hexadecimal digits
+SLOW_BYTES_PER_S = 60_000.0  # about half a Mbit/s
+CHANGES_MEANWHILE = 20
+CONFIG_S = 2.0  # what is read is no older than what was acknowledged so long before
 
 
 @pytest.fixture
@@ -163,3 +171,179 @@
         fleet.processes[fleet.keepers[number]].send_signal(signal.SIGCONT)
     wait_for(lambda: fleet.control(alone, "POST", "/-/instances/i-1/deregister")[0] == 200, "a majority")
     wait_for(lambda: (read(fleet, alone) or 0) >= 1, "a read")
+
+
+# behind relays
+
+
+@pytest.fixture
+def relayed(tmp_path: Path) -> Iterator[tuple[Fleet, KeeperLinks]]:
+    made = Fleet(3, 0, tmp_path, first=130, relayed=True)
+    links = KeeperLinks(made.hidden, made.internal)
+    try:
+        made.start_all()
+        assert made.replace(example_config(1), 0) == 200
+        made.bootstrap = False
+        wait_for(lambda: all(made.serves_control(number) for number in range(3)), "all keepers")
+        wait_for(lambda: len(status(made, 0)["chain"]) == 3, "the whole chain")
+        yield made, links
+    finally:
+        links.close()
+        made.close()
+
+
+class Operators:
+    """Operators at a keeper that is cut off: they read and send changes."""
+
+    def __init__(self, fleet: Fleet, keeper: int) -> None:
+        self._fleet, self._keeper = fleet, keeper
+        self._over = threading.Event()
+        self.acknowledged: list[tuple[float, int]] = [(time.monotonic(), 1)]
+        self.faults: list[str] = []
+        self.answers = 0
+        self._threads = [threading.Thread(target=work) for work in (self._read, self._order, self._order)]
+
+    def start(self) -> None:
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        self._over.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _read(self) -> None:
+        while not self._over.is_set():
+            begun = time.monotonic()
+            found = read(self._fleet, self._keeper)
+            self.answers += 1
+            newest = max(
+                revision for told, revision in self.acknowledged if told <= begun - CONFIG_S or revision == 1
+            )
+            if found is not None and found < newest:
+                self.faults.append(f"read {found}, {newest} was acknowledged long before")
+
+    def _order(self) -> None:
+        number = 1000
+        while not self._over.is_set():
+            number += 1
+            answer = order(self._fleet, self._keeper, number, 1)
+            self.answers += 1
+            if answer not in (503, None) and len(self.acknowledged) > 1:
+                newest = self.acknowledged[-1][1]
+                if answer == 200 or newest == 1:
+                    self.faults.append(f"order on 1 got {answer} while {newest} was in force")
+
+
+def cut_off_for(fleet: Fleet, links: KeeperLinks, seconds: float) -> None:
+    """Cut the head off, with operators on both sides, and see that its side decides nothing."""
+    lost = head(fleet)
+    others = [number for number in range(3) if number != lost]
+    links.cut(fleet.keepers[lost], [fleet.keepers[number] for number in others])
+    revision = 2
+    assert fleet.replace(example_config(revision), 1, others[0]) == 200
+    operators = Operators(fleet, lost)
+    operators.acknowledged.append((time.monotonic(), revision))
+    operators.start()
+    instance = {"backend": "lm", "address": "127.0.0.1:9", "slots": 1, "state": "draining", "sequence": 2}
+    assert fleet.control(lost, "POST", "/-/instances/i-1/heartbeat", instance)[0] == 503
+    assert fleet.control(others[0], "POST", "/-/instances/i-1/heartbeat", instance)[0] == 200
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        revision += 1
+        assert fleet.replace(example_config(revision), revision - 1, others[revision % 2]) == 200
+        operators.acknowledged.append((time.monotonic(), revision))
+        assert read(fleet, others[0]) in (None, revision)
+        assert not status(fleet, lost)["current"]
+        assert fleet.control(lost, "POST", "/-/instances/i-1/deregister")[0] == 503
+    operators.stop()
+    assert operators.answers > 2 and not operators.faults, operators.faults[:3]
+    links.heal()
+    wait_for(lambda: read(fleet, lost) == revision, "it has all when it is back")
+    assert order(fleet, lost, revision, revision - 1) == 200, "what was taken elsewhere is taken"
+    wait_for(lambda: len(status(fleet, lost)["chain"]) == 3, "the whole chain")
+
+
+def test_a_head_that_is_cut_off_decides_nothing(relayed: tuple[Fleet, KeeperLinks]) -> None:
+    cut_off_for(*relayed, CUT_S)
+
+
+@pytest.mark.long
+def test_a_head_that_is_cut_off_for_twenty_seconds_decides_nothing(
+    relayed: tuple[Fleet, KeeperLinks],
+) -> None:
+    cut_off_for(*relayed, 20.0)
+
+
+@pytest.mark.parametrize("position", range(3), ids=["head", "middle", "tail"])
+def test_a_keeper_that_is_killed_between_its_sync_and_its_answer_takes_nothing_with_it(
+    relayed: tuple[Fleet, KeeperLinks], position: int
+) -> None:
+    fleet, links = relayed
+    told = status(fleet, 0)
+    chain = [fleet.keepers.index(node.partition(":")[0]) for node in told["chain"]]
+    killed = chain[position]
+    others = [number for number in range(3) if number != killed]
+    links.cut_ways((fleet.keepers[killed], fleet.keepers[other]) for other in others)
+    answers: list[int | None] = []
+    sender = threading.Thread(target=lambda: answers.append(order(fleet, chain[0], 2, 1)))
+    sender.start()
+    wait_for(lambda: status(fleet, killed)["synced"] > told["committed"][1], "the change is on its disk")
+    fleet.end(fleet.keepers[killed])
+    sender.join()
+    assert answers[0] in (200, 503, None), answers
+    links.heal()
+    assert fleet.replace(example_config(2), 1, others[0]) == 200
+    fleet.start(fleet.keepers[killed])
+    wait_for(lambda: fleet.serves_control(killed), "its control interface")
+    assert fleet.replace(example_config(2), 1, killed) == 200, "the same again"
+    assert order(fleet, others[1], 3, 1) in (412, 503), "another one on the same base"
+    wait_for(lambda: [read(fleet, number) for number in range(3)] == [2] * 3, "all hold it")
+
+
+def large_config(revision: int) -> dict[str, Any]:
+    """A configuration that hardly gets smaller when it is compressed."""
+    drawn = random.Random(1)
+    config = example_config(revision)
+    route = config["routes"][0]
+    more = [
+        {**route, "name": f"r{number}", "path-prefix": f"/{drawn.randbytes(PREFIX_BYTES).hex()}/"}
+        for number in range(ROUTES)
+    ]
+    return {**config, "routes": [*config["routes"], *more]}
+
+
+def update(fleet: Fleet, keeper: int, revision: int) -> bool:
+    """Change something small; returns whether that was acknowledged."""
+    change = {"revision": revision, "upsert": {"limits": {"idle-timeout-ms": 10_000 + revision}}}
+    return fleet.control(keeper, "POST", "/-/config/update", change, revision - 1)[0] == 200
+
+
+def test_an_empty_member_joins_over_a_slow_link_while_changes_go_on(
+    relayed: tuple[Fleet, KeeperLinks],
+) -> None:
+    fleet, links = relayed
+    assert fleet.replace(large_config(2), 1) == 200
+    lost = (head(fleet) + 1) % 3
+    other = (lost + 1) % 3
+    address = fleet.keepers[lost]
+    control = f"{address}:{fleet.control_port}"
+    fleet.end(address)
+    shutil.rmtree(fleet.folder / address)
+    links.limit(address, SLOW_BYTES_PER_S)
+    fleet.start(address)
+    wait_for(lambda: control in status(fleet, other)["keepers"], "it is heard")
+    revision = 2
+
+    def holds_all() -> bool:
+        nonlocal revision
+        assert control in status(fleet, other)["keepers"], "a transfer held its heartbeats up"
+        if revision < CHANGES_MEANWHILE + 2:
+            wait_for(lambda: update(fleet, other, revision + 1), "a change is taken meanwhile")
+            revision += 1
+        return revision > CHANGES_MEANWHILE and read(fleet, lost) == revision
+
+    wait_for(holds_all, "it holds all")
+    wait_for(
+        lambda: not status(fleet, lost)["previous"] and len(status(fleet, lost)["chain"]) == 3, "a member"
+    )
