Agreement: a replica's next process makes other ballots; what is committed is so in every epoch

Cause: a ballot was named by the replica alone. A proposer that ended before its own promise was on its disk (a disk that stalls, then a kill) began with the same round again: answers to its first attempt counted for the second, and two views could be decided for one epoch. Found by a model of the agreement alone (every state of the real class, with losses of processes between send and sync); the name of the process is part of the ballot now. The majority of both sides of a change of members and the seal of a promise are not second lines of defence: a scenario for each.

--- a/pebbledrift/chain/agreement.py
+++ b/pebbledrift/chain/agreement.py
@@ -150,7 +150,7 @@
         epoch = self.view.epoch + 1
         seen = self.promised.round if self.promised.epoch == epoch else 0
         self._round = max(self._round, seen) + 1
-        ballot = Ballot(epoch, self._round, self.node)
+        ballot = Ballot(epoch, self._round, f"{self.node}#{self.incarnation:x}")
         self.proposal = Proposal(ballot, plan, now, now, gather_s)
         self._ask(self.proposal, now)
 
--- a/pebbledrift/chain/link.py
+++ b/pebbledrift/chain/link.py
@@ -294,11 +294,14 @@
         self._sync(fresh)
 
     def on_committed(self, message: Committed) -> bool:
-        """The tail has committed; returns whether we have the entries that this is about."""
+        """A tail has committed; returns whether we have the entries that this is about.
+
+        What is committed stays so in every epoch, and whoever holds an entry holds the same ones before it.
+        """
         stamp = Stamp(*message.stamp)
         if stamp.sequence <= self.log.committed.sequence:
             return True
-        if message.epoch != self.epoch or not self.active or not self.log.holds(stamp):
+        if not self.log.holds(stamp):
             return False
         self._committed(self.log.commit(stamp.sequence))
         return True
--- a/pebbledrift/chain/messages.py
+++ b/pebbledrift/chain/messages.py
@@ -17,11 +17,15 @@
 
 
 class Ballot(NamedTuple):
-    """Orders the attempts to agree on the view of an epoch."""
+    """Orders the attempts to agree on the view of an epoch.
+
+    No two attempts have one ballot: the next process of a replica may not know which rounds the one before
+    began, and is another proposer for that reason.
+    """
 
     epoch: int
     round: int
-    node: str
+    proposer: str  # replica and incarnation
 
 
 NO_STAMP = Stamp(0, 0)
--- a/tests/cluster/mutations.py
+++ b/tests/cluster/mutations.py
@@ -18,6 +18,7 @@
 
 ROOT = Path(__file__).parents[2]
 WORST = "tests/cluster/test_worst_days.py"
+AGREEMENT = "tests/cluster/test_agreement_model.py"
 
 
 @dataclass(frozen=True)
@@ -87,7 +88,7 @@
         "return self.joined and not self.agreement.sealed",
         "return self.joined",
         WORST,
-        "explored or drawn",
+        "epoch_before",
     ),
     Mutation(
         "the tail commits what all members have synced",
@@ -144,7 +145,108 @@
         "return _majority(self.members, nodes) and (not self.previous or _majority(self.previous, nodes))",
         "return _majority(self.members, nodes)",
         WORST,
-        "joint or drawn",
+        "both_sides",
+    ),
+    Mutation(
+        "a barrier is of one epoch",
+        "pebbledrift/chain/link.py",
+        "if barrier.epoch != self.epoch or barrier.position",
+        "if barrier.position",
+        WORST,
+        "epoch_that_is_over",
+    ),
+    Mutation(
+        "what a promiser has accepted goes first",
+        "pebbledrift/chain/agreement.py",
+        "accepted = [p for p in proposal.promises.values() if p.accepted_view is not None]",
+        "accepted: list[Promise] = []",
+        AGREEMENT,
+    ),
+    Mutation(
+        "of what was accepted the highest ballot's goes first",
+        "pebbledrift/chain/agreement.py",
+        "return max(accepted, key=",
+        "return min(accepted, key=",
+        AGREEMENT,
+    ),
+    Mutation(
+        "a promise is synced before it is sent",
+        "pebbledrift/chain/agreement.py",
+        "self.outbox.persist(self.vote(), then=lambda: self.outbox.send(sender, promise))",
+        "self.outbox.send(sender, promise)\n        self.outbox.persist(self.vote())",
+        AGREEMENT,
+    ),
+    Mutation(
+        "an acceptance is synced before it is sent",
+        "pebbledrift/chain/agreement.py",
+        "self.outbox.persist(self.vote(), then=lambda: self.outbox.send(sender, answer))",
+        "self.outbox.send(sender, answer)\n        self.outbox.persist(self.vote())",
+        AGREEMENT,
+    ),
+    Mutation(
+        "no lower ballot is accepted than was promised",
+        "pebbledrift/chain/agreement.py",
+        "        if not self._may_answer(ballot) or ballot < self.promised:\n"
+        "            self._reject(sender, ballot)\n            return\n"
+        "        self.promised = self.accepted_ballot",
+        "        if not self._may_answer(ballot):\n"
+        "            self._reject(sender, ballot)\n            return\n"
+        "        self.promised = self.accepted_ballot",
+        AGREEMENT,
+    ),
+    Mutation(
+        "no lower ballot is promised than before",
+        "pebbledrift/chain/agreement.py",
+        "        if not self._may_answer(ballot) or ballot < self.promised:\n"
+        "            self._reject(sender, ballot)\n            return\n"
+        "        self.promised = ballot",
+        "        if not self._may_answer(ballot):\n"
+        "            self._reject(sender, ballot)\n            return\n"
+        "        self.promised = ballot",
+        AGREEMENT,
+    ),
+    Mutation(
+        "a vote outlives the process",
+        "pebbledrift/chain/agreement.py",
+        "        if vote is not None:\n",
+        "        if False:\n",
+        AGREEMENT,
+    ),
+    Mutation(
+        "an epoch is decided by the voters before it",
+        "pebbledrift/chain/agreement.py",
+        "        if self.view.is_quorum(proposal.accepted):",
+        "        if proposal.view.is_quorum(proposal.accepted):",
+        AGREEMENT,
+    ),
+    Mutation(
+        "a majority has to promise",
+        "pebbledrift/chain/agreement.py",
+        "        if not self.view.is_quorum(proposal.promises):",
+        "        if not proposal.promises:",
+        AGREEMENT,
+    ),
+    Mutation(
+        "a majority has to accept",
+        "pebbledrift/chain/agreement.py",
+        "        if self.view.is_quorum(proposal.accepted):",
+        "        if proposal.accepted:",
+        AGREEMENT,
+    ),
+    Mutation(
+        "the chain is a majority",
+        "pebbledrift/chain/agreement.py",
+        "        return view if view.is_quorum(view.chain_nodes) else None",
+        "        return view",
+        WORST,
+        "of_the_chain",
+    ),
+    Mutation(
+        "a replica's next process is another proposer",
+        "pebbledrift/chain/agreement.py",
+        'f"{self.node}#{self.incarnation:x}"',
+        "self.node",
+        AGREEMENT,
     ),
     Mutation(
         "who leaves waits until the others hold all",
--- a/tests/cluster/test_worst_days.py
+++ b/tests/cluster/test_worst_days.py
@@ -15,6 +15,7 @@
 
 THREE = ("a:1", "b:1", "c:1")
 PLAYS, BATCHES = 15, 8
+SLOW = 125_000.0  # bytes a second: 1 Mbit/s
 
 
 def verdict(call: Call) -> int | None:
@@ -29,6 +30,11 @@
     return next(a for a, r in cluster.replicas.items() if r.link.is_tail)
 
 
+def chain_of(cluster: Cluster, address: str) -> list[str]:
+    view = cluster.replicas[address].agreement.view
+    return [node.partition("/")[0] for node in view.chain_nodes] if view is not None else []
+
+
 def taken(cluster: Cluster, at: str, revision: int, base: int, note: str = "") -> None:
     call = cluster.order(at, change(revision, base, note))
     cluster.run(0.5)
@@ -86,6 +92,71 @@
     assert cluster.replicas[head].log.state.revision == 2
 
 
+def refused_after_a_cut(seed: int) -> Call | None:
+    """A head that was cut off refuses by old state; its successor has the same place in a later chain.
+
+    None where the head has promised itself a chain of those that fell silent last, and judges nothing.
+    """
+    cluster = Cluster((*THREE, "d:1", "e:1"), seed, tolerated=2)
+    cluster.run(2.0)
+    taken(cluster, "a:1", 1, 0)
+    head, second, third, fourth, fifth = chain_of(cluster, "a:1")
+    cluster.cut_off(head)
+    cluster.kill(second)
+    cluster.run(1.5)
+    taken(cluster, third, 2, 1)
+    for back, lost in ((second, fourth), (fourth, fifth)):
+        cluster.start(back)
+        cluster.run(2.0)
+        cluster.kill(lost)
+        cluster.run(1.5)
+    assert chain_of(cluster, third) == [third, second, fourth]
+    judges = cluster.replicas[head].link.is_head
+    cluster.heal()
+    refused = cluster.order(head, change(3, 2))
+    cluster.run(3.0)
+    return refused if judges else None
+
+
+def test_a_refusal_of_an_epoch_that_is_over_is_not_answered() -> None:
+    refused = [call for seed in range(10) if (call := refused_after_a_cut(seed)) is not None]
+    assert refused
+    wrong = [call for call in refused if verdict(call) not in (None, *TAKEN)]
+    assert not wrong, "2 is in force, and a change on it was refused"
+
+
+def hold(cluster: Cluster, sender: str, receiver: str, seconds: float) -> None:
+    if not cluster.network.link(sender, receiver).held:
+        cluster.network.hold(sender, receiver, seconds)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_who_promised_commits_nothing_more_in_the_epoch_before(seed: int) -> None:
+    """C comes back into the chain of A and B while changes go on.
+
+    Asked late, it has fetched what was committed after the others promised, and has the newest log.
+    """
+    cluster = Cluster(THREE, seed)
+    cluster.run(2.0)
+    taken(cluster, "a:1", 1, 0)
+    head, second, third = chain_of(cluster, "a:1")
+    cluster.kill(third)
+    cluster.run(2.0)
+    cluster.start(third)
+    revision = 1
+    while len(chain_of(cluster, head)) < 3 and cluster.now < 12.0:
+        if cluster.replicas[head].agreement.proposal is None:
+            hold(cluster, head, third, 0.1)
+        hold(cluster, second, third, 0.02)
+        revision += 1
+        cluster.order(head, change(revision, revision - 1))
+        cluster.run(0.004)
+    assert len(chain_of(cluster, head)) == 3
+    cluster.run(4.0)
+    for address in THREE:
+        cluster.check_kept(address)
+
+
 def test_after_a_loss_of_all_power_nobody_stands_for_what_is_not_the_newest() -> None:
     cluster = Cluster(THREE, seed=4)
     cluster.run(2.0)
@@ -253,6 +324,45 @@
     assert view is not None and len(view.members) == 3 and not any("a:1" in node for node in view.members)
 
 
+@pytest.mark.parametrize("a_after_s", [0.0, 0.02, 0.05])
+@pytest.mark.parametrize("c_after_s", [0.0, 0.1, 0.2])
+def test_a_member_is_replaced_by_the_majorities_of_both_sides(c_after_s: float, a_after_s: float) -> None:
+    """A and B hold a change that C lacks; B is replaced by an empty one, and A is gone as soon as that began.
+
+    {A, B} of A B C and {B', C} of A B' C have nobody in common: C and the new B must not go on by themselves.
+    """
+    import random
+
+    cluster = Cluster(THREE, seed=6)
+    cluster.run(2.0)
+    taken(cluster, "a:1", 1, 0)
+    cluster.kill("c:1")
+    cluster.run(2.0)
+    held = cluster.order("a:1", change(2, 1, random.Random(3).randbytes(75_000).hex()))
+    cluster.run(2.0)
+    assert verdict(held) == Verdict.TAKEN
+    cluster.network.bytes_per_s = SLOW
+    cluster.wipe("b:1")
+    cluster.run(0.02)
+    cluster.start("b:1")
+    cluster.run(c_after_s)
+    epoch = cluster.replicas["a:1"].link.epoch
+    cluster.start("c:1")
+    ended = cluster.now + 5.0
+    while cluster.replicas["a:1"].link.epoch == epoch and cluster.now < ended:
+        cluster.run(0.005)
+    cluster.run(a_after_s)
+    cluster.kill("a:1", power=True)
+    cluster.run(3.0)
+    cluster.start("a:1")
+    cluster.run(15.0)
+    order = cluster.order("c:1", change(3, 2))
+    cluster.run(3.0)
+    assert verdict(order) == Verdict.TAKEN
+    for address in THREE:
+        cluster.check_kept(address)
+
+
 # 4: hundreds of changes, slow links
 
 
@@ -466,9 +576,6 @@
     assert played > 60
 
 
-SLOW = 125_000.0  # bytes a second: 1 Mbit/s
-
-
 def trouble(
     kind: str, machine: int, for_s: float, after_s: float = 0.0, other: int = 0
 ) -> worst_days.Trouble:
