--- a/tests/cluster/test_worst_days.py
+++ b/tests/cluster/test_worst_days.py
@@ -363,6 +363,30 @@
         cluster.check_kept(address)
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_less_than_a_majority_of_the_chain_acknowledges_nothing(seed: int) -> None:
+    """A wants a chain with C, as B stands still; C is cut off meanwhile, and it is B that promises."""
+    cluster = Cluster(THREE, seed)
+    cluster.run(2.0)
+    taken(cluster, "a:1", 1, 0)
+    head, second, third = chain_of(cluster, "a:1")
+    cluster.freeze(second, 1.0)
+    cluster.run(0.5)
+    cluster.cut_off(head, [third])
+    cluster.run(0.45)
+    call = cluster.order(head, change(2, 1))
+    ended = cluster.now + 3.0
+    while verdict(call) is None and cluster.now < ended:
+        cluster.run(0.001)
+    cluster.wipe(head)
+    cluster.heal()
+    cluster.run(1.0)
+    cluster.start(head)
+    cluster.run(6.0)
+    for address in THREE:
+        cluster.check_kept(address)
+
+
 # 4: hundreds of changes, slow links
 
 
