--- a/tests/cluster/operators.py
+++ b/tests/cluster/operators.py
@@ -9,13 +9,31 @@
 from dataclasses import dataclass, field
 
 from pebbledrift.control.orders import Order, OrderKind, Verdict
+from tests.cluster import linearizability
+from tests.cluster.linearizability import is_linearizable
 from tests.cluster.simulation import TAKEN, Call, Cluster
 
+Register = Callable[[int], int | None]  # from the revision in force to the one after an operation
 PATIENCE_S = 1.0  # without a response an operator goes to another keeper
 PAUSE_S = 0.1
 TRIES_MOST = 12
 
 
+def taken_of(base: int, revision: int) -> Register:
+    """A change that was taken, or may have been: at its base."""
+    return lambda state: revision if state == base else None
+
+
+def read_of(revision: int) -> Register:
+    """A read."""
+    return lambda state: state if state == revision else None
+
+
+def refusal_of(base: int, revision: int) -> Register:
+    """A change that was refused: for its base, or as its revision is not above the one in force."""
+    return lambda state: state if state != base or revision <= state else None
+
+
 @dataclass
 class Operation:
     """What one operator did: an order, sent until there was a clear answer, or a read."""
@@ -156,6 +174,22 @@
                 assert operation.order.digest in taken, f"acknowledged and not in force: {operation}"
             else:
                 self._check_refusal(operation, taken)
+        assert is_linearizable(self._as_register(), 0), "no register answers like this"
+
+    def _as_register(self) -> list[linearizability.Operation[int]]:
+        """The history as operations of a register that holds a revision."""
+        found = []
+        for operation in self.history:
+            if operation.order is None:
+                apply = read_of(operation.revision)
+            elif operation.verdict in TAKEN or operation.verdict is None:
+                apply = taken_of(operation.order.base, operation.revision)
+            else:
+                apply = refusal_of(operation.order.base, operation.revision)
+            if operation.order is not None or operation.verdict is not None:
+                ended = operation.ended if operation.verdict is not None else None
+                found.append(linearizability.Operation(operation.begun, ended, apply))
+        return found
 
     def _taken(self) -> dict[bytes, int]:
         """By digest: the revisions of all changes in the order in which they came into force."""
--- a/tests/cluster/simulation.py
+++ b/tests/cluster/simulation.py
@@ -82,6 +82,7 @@
         self.tolerated, self.catch_up_s = tolerated, catch_up_s
         self.now = 0.0
         self.seeds = tuple(addresses)
+        self.zone_of: Callable[[str], str] = lambda address: ""
         self.diskless = set(diskless)
         self.disks: dict[str, Disk] = {}
         self.processes: dict[str, Process] = {}
@@ -141,7 +142,7 @@
         settings = ReplicaSettings(
             address=address,
             control=address,
-            zone="",
+            zone=self.zone_of(address),
             node=identity.node,
             incarnation=self._incarnation,
             eligible=address not in self.diskless,
--- a/tests/cluster/worst_days.py
+++ b/tests/cluster/worst_days.py
@@ -19,12 +19,13 @@
 from tests.cluster.operators import Operators
 from tests.cluster.simulation import TAKEN, Cluster, Process
 
-FOUNDERS = ("a:1", "b:1", "c:1")
-MORE = ("d:1", "e:1")  # machines with a disk that the seeds do not name
+MACHINES = tuple(f"{letter}:1" for letter in "abcdefgh")  # with a disk; the first of them found
 DISKLESS = ("x:1", "y:1")
 CONFIG_S = 2.0  # what counts as current may be older than an acknowledgement by so much
 ACK_S = 4.0
 JUST_OVER_S = 0.02
+JOIN_MOST_S = 30.0  # until all machines are members, at the beginning
+COPY_SHARE = 0.4  # of the time to catch up, at most, a copy of the first configuration takes on a link
 SETTLE_S = 12.0
 RECONNECT_MOST_S = 0.25
 LOAD_SHARE = 0.3  # of a link, at most, is taken by changes
@@ -57,13 +58,19 @@
 
 @dataclass(frozen=True)
 class Loss:
-    """A disk is lost, with its machine or without; the next one comes the moment that this is over."""
+    """A disk is lost, with its machine or without.
+
+    It comes the moment that the loss before is over; or whoever else is in trouble, as long as no more disks
+    are lost than are tolerated.
+    """
 
     machine: int
     replaced: bool  # by a machine at another address; else it comes back empty
     planned: bool  # the successor comes first, and it leaves by SIGTERM
     down_s: float
     troubles: tuple[Trouble, ...]
+    after: int = 0  # so many of the troubles begin before the disk is lost
+    overlaps: bool = False  # with the loss before
 
 
 @dataclass(frozen=True)
@@ -82,6 +89,7 @@
     gap_s: float
     ack_lost: float
     losses: tuple[Loss, ...]
+    zones: int = 1
 
 
 def troubles() -> st.SearchStrategy[Trouble]:
@@ -105,6 +113,8 @@
         st.booleans(),
         st.floats(0.1, 2.0),
         st.lists(troubles(), max_size=4).map(tuple),
+        st.integers(0, 4),
+        st.booleans(),
     )
 
 
@@ -113,23 +123,37 @@
     return st.builds(
         Play,
         st.integers(0, 2**32),
-        st.sampled_from((3, 3, 4, 5)),
+        st.sampled_from((3, 3, 3, 4, 5, 5, 6, 8)),
         st.integers(0, 2),
-        st.just(1),
-        st.sampled_from((2.5, 4.0, 6.0)),
-        st.sampled_from((None, None, 625_000.0, 125_000.0)),
+        st.sampled_from((1, 1, 2)),
+        st.sampled_from((1.5, 2.5, 4.0, 6.0)),
+        st.sampled_from((None, None, 12_500_000.0, 1_250_000.0, 625_000.0, 125_000.0)),
         st.sampled_from((0, 0, 0, 20_000)),
-        st.sampled_from((0, 0, 150_000)),
+        st.sampled_from((0, 0, 0, 0, 0, 150_000, 150_000, 150_000, 1_000_000, 4_000_000)),
         st.integers(1, 4),
         st.sampled_from((0.05, 0.3, 1.0)),
         st.sampled_from((0.0, 0.0, 0.6)),
         st.lists(losses(), min_size=1, max_size=4).map(tuple),
+        st.integers(1, 3),
     )
 
 
+def tolerated(play: Play) -> int:
+    """How many disks may be lost: no more than leave a majority."""
+    return min(play.tolerated, (max(3, play.size) - 1) // 2)
+
+
+def state_bytes(play: Play) -> int:
+    """The size of the first configuration: one that a newcomer can copy in time."""
+    if play.bytes_per_s is None:
+        return play.state_bytes
+    return min(play.state_bytes, int(COPY_SHARE * play.catch_up_s * play.bytes_per_s))
+
+
 def transfer_s(play: Play) -> float:
     """For how long the first configuration is on its way to all members."""
-    return play.state_bytes / play.bytes_per_s if play.bytes_per_s is not None else 0.0
+    members = max(3, play.size)
+    return (members - 1) * state_bytes(play) / play.bytes_per_s if play.bytes_per_s is not None else 0.0
 
 
 class Player:
@@ -137,20 +161,23 @@
 
     def __init__(self, play: Play) -> None:
         self.play = play
-        members = [*FOUNDERS, *MORE][: max(3, play.size)]
+        members = list(MACHINES[: max(3, play.size)])
+        founders = members[: max(3, 2 * tolerated(play) + 1)]
         self.cluster = Cluster(
-            FOUNDERS, play.seed, play.tolerated, play.catch_up_s, DISKLESS[: play.diskless]
+            founders, play.seed, tolerated(play), play.catch_up_s, DISKLESS[: play.diskless]
         )
-        for address in members[len(FOUNDERS) :]:
+        self.cluster.zone_of = lambda address: f"z{sum(address.encode()) % play.zones}"
+        for address in members[len(founders) :]:
             self.cluster.start(address)
         self.members = members
         self._named = 0
+        self._lost = 0  # disks, since all was well
         self._down: set[str] = set()
         self._quiet_since = 0.0  # no machine that counts has been in trouble since
         self.cluster.network.bytes_per_s = play.bytes_per_s
         self.cluster.on_tick = self._check_standing
         self.operators = Operators(
-            self.cluster, self._addresses, play.seed, play.ack_lost, play.body_bytes, play.state_bytes
+            self.cluster, self._addresses, play.seed, play.ack_lost, play.body_bytes, state_bytes(play)
         )
 
     def _addresses(self) -> list[str]:
@@ -161,6 +188,7 @@
         self.cluster.run(3.0)
         self._take_order("first")
         self.cluster.run(transfer_s(self.play))
+        self._wait_for_members()
         self.operators.start(self.play.operators, 2, self._gap_s())
         self._quiet_since = self.cluster.now
         for loss in self.play.losses:
@@ -177,26 +205,52 @@
 
     # losses
 
+    def _wait_for_members(self) -> None:
+        """All machines with a disk are members, and none is being changed."""
+        ended = self.cluster.now + JOIN_MOST_S
+        while self.cluster.now < ended:
+            view = next(iter(self.cluster.replicas.values())).agreement.view
+            if view is not None and not view.previous and len(view.chain) == len(self.members):
+                return
+            self.cluster.run(0.1)
+        raise AssertionError("not all machines have become members")
+
     def _lose(self, loss: Loss) -> None:
-        """Wait until a loss may come, and no longer; then have it, with what goes on beside it."""
-        allowed = self._quiet_since + self.play.catch_up_s + JUST_OVER_S
-        self.cluster.run(max(0.0, allowed - self.cluster.now))
+        """Lose a disk when that may be, with what goes on beside it."""
+        may_overlap = loss.overlaps and self._lost < tolerated(self.play)
+        if not may_overlap:
+            allowed = self._quiet_since + self.play.catch_up_s + JUST_OVER_S
+            self.cluster.run(max(0.0, allowed - self.cluster.now))
+            self._lost = 0
+        self._lost += 1
+        for number, trouble in enumerate(loss.troubles):
+            if number == loss.after:
+                self._lose_disk(loss)
+            self.cluster.run(trouble.after_s)
+            self._begin_trouble(trouble)
+        if loss.after >= len(loss.troubles):
+            self._lose_disk(loss)
+        if not may_overlap and not self._next_overlaps(loss):
+            self.cluster.run(max(0.0, self._quiet_since - self.cluster.now))
+
+    def _next_overlaps(self, loss: Loss) -> bool:
+        losses = self.play.losses
+        following = losses[losses.index(loss) + 1 :]
+        return bool(following) and following[0].overlaps and self._lost < tolerated(self.play)
+
+    def _lose_disk(self, loss: Loss) -> None:
         victim = self.members[loss.machine % len(self.members)]
         if loss.replaced and loss.planned:
             self._replace_planned(victim)
-        else:
-            self.cluster.wipe(victim)
-            self._down.add(victim)
-            back = victim
-            if loss.replaced:
-                back = self._new_name()
-                self.members[self.members.index(victim)] = back
-            self._note_trouble(loss.down_s)
-            self.cluster.at(self.cluster.now + loss.down_s, lambda: self._begin(back, victim))
-        for trouble in loss.troubles:
-            self.cluster.run(trouble.after_s)
-            self._begin_trouble(trouble)
-        self.cluster.run(max(0.0, self._quiet_since - self.cluster.now))
+            return
+        self.cluster.wipe(victim)
+        self._down.add(victim)
+        back = victim
+        if loss.replaced:
+            back = self._new_name()
+            self.members[self.members.index(victim)] = back
+        self._note_trouble(loss.down_s)
+        self.cluster.at(self.cluster.now + loss.down_s, lambda: self._begin(back, victim))
 
     def _replace_planned(self, victim: str) -> None:
         successor = self._new_name()
