--- a/tests/cluster/mutations.py
+++ b/tests/cluster/mutations.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parents[2]
-WORST = "tests/cluster/test_worst_days.py"
+WORST = "tests/cluster/test_worst_days.py tests/cluster/test_slow_links.py tests/cluster/test_drawn_days.py"
 AGREEMENT = "tests/cluster/test_agreement_model.py"
 
 
--- a/tests/cluster/relay_scenario.py
+++ b/tests/cluster/relay_scenario.py
@@ -22,7 +22,7 @@
 
 from pebbledrift.control.registry import InstanceState
 from tests.cluster.relay_simulation import Fabric, Router
-from tests.cluster.scenario import ScenarioError
+from tests.cluster.scenario import ScenarioError, play_lines
 
 STEP_S = 0.05
 
@@ -62,17 +62,7 @@
 
     def play(self, text: str) -> None:
         """Carry out every line; an assertion names the line at which it failed."""
-        for number, line in enumerate(text.splitlines(), start=1):
-            words = line.partition("#")[0].split()
-            if not words:
-                continue
-            step = self._steps.get(words[0])
-            if step is None:
-                raise ScenarioError(f"line {number}: unknown step {words[0]!r}")
-            try:
-                step(words[1:])
-            except AssertionError as error:
-                raise AssertionError(f"line {number}: {line.strip()}: {error}") from error
+        play_lines(text, self._steps)
 
     def _fleet(self, words: list[str]) -> None:
         given = {name: float(value) for name, value in zip(words[::2], words[1::2], strict=True)}
--- a/tests/cluster/scenario.py
+++ b/tests/cluster/scenario.py
@@ -16,7 +16,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 
 from pebbledrift.control.orders import Verdict
@@ -33,6 +33,24 @@
     """A line that is no step."""
 
 
+Step = Callable[[list[str]], None]
+
+
+def play_lines(text: str, steps: Mapping[str, Step]) -> None:
+    """Carry out every line: its first word names the step. An assertion names the line at which it failed."""
+    for number, line in enumerate(text.splitlines(), start=1):
+        words = line.partition("#")[0].split()
+        if not words:
+            continue
+        step = steps.get(words[0])
+        if step is None:
+            raise ScenarioError(f"line {number}: unknown step {words[0]!r}")
+        try:
+            step(words[1:])
+        except AssertionError as error:
+            raise AssertionError(f"line {number}: {line.strip()}: {error}") from error
+
+
 class Scenario:
     """One play."""
 
@@ -41,7 +59,7 @@
         self._cluster: Cluster | None = None
         self._calls: dict[str, Call] = {}
         self._revision = 0  # the newest that was drawn for an order
-        self._steps: dict[str, Callable[[list[str]], None]] = {
+        self._steps: dict[str, Step] = {
             "start": self._start,
             "run": lambda words: self.cluster.run(float(words[0])),
             "order": self._order,
@@ -68,17 +86,7 @@
 
     def play(self, text: str) -> None:
         """Carry out every line; an assertion names the line at which it failed."""
-        for number, line in enumerate(text.splitlines(), start=1):
-            words = line.partition("#")[0].split()
-            if not words:
-                continue
-            step = self._steps.get(words[0])
-            if step is None:
-                raise ScenarioError(f"line {number}: unknown step {words[0]!r}")
-            try:
-                step(words[1:])
-            except AssertionError as error:
-                raise AssertionError(f"line {number}: {line.strip()}: {error}") from error
+        play_lines(text, self._steps)
 
     def _start(self, words: list[str]) -> None:
         self._cluster = Cluster([_address(word) for word in words], self._seed)
