--- a/tests/cluster/worst_days.py
+++ b/tests/cluster/worst_days.py
@@ -1,17 +1,21 @@
 """Plays of the control state under trouble that overlaps, drawn by hypothesis.
 
-    python -m tests.cluster.worst_days --plays 10000 [--first N] [--processes P]
+    python -m tests.cluster.worst_days --plays 10000 [--first N] [--processes P] [--record FILE] [--shrink]
 
-plays them and prints the shortest form of what fails.
+plays them and prints what fails; with --record a run that was broken off goes on where it was.
 """
 
 from __future__ import annotations
 
 import argparse
+import hashlib
+import json
 import multiprocessing
 import sys
 import traceback
 from dataclasses import dataclass, field
+from pathlib import Path
+from typing import NamedTuple
 
 from hypothesis import HealthCheck, Phase, given, seed, settings
 from hypothesis import strategies as st
@@ -414,11 +418,49 @@
     return found
 
 
-def _batch(job: tuple[int, int, bool]) -> Found:
-    return batch(*job)
+BATCH = 50
+ROOT = Path(__file__).parents[2]
 
 
-BATCH = 50
+class Job(NamedTuple):
+    """A batch that one process plays."""
+
+    first: int  # its seed
+    shrink: bool
+
+
+def text_name() -> str:
+    """Names the program that is played: plays of another one are no result for it."""
+    summed = hashlib.sha256()
+    for path in sorted((ROOT / "pebbledrift").rglob("*.py")):
+        summed.update(path.read_bytes())
+    return summed.hexdigest()[:8]
+
+
+class Record:
+    """A file of the batches that were played, one a line: a run that was broken off goes on behind them."""
+
+    def __init__(self, path: Path | None) -> None:
+        self._path, self._text = path, text_name()
+        self.played: dict[int, int] = {}  # by seed of a batch that did not fail
+        if path is not None and path.exists():
+            for line in path.read_text().splitlines():
+                entry = json.loads(line)
+                if entry["text"] == self._text and not entry["failed"]:
+                    self.played[entry["first"]] = entry["plays"]
+
+    def add(self, first: int, found: Found) -> None:
+        """Note a batch."""
+        if self._path is None:
+            return
+        failed = len(found.failures)
+        entry = {"text": self._text, "first": first, "plays": found.played, "failed": failed}
+        with self._path.open("a") as file:
+            file.write(json.dumps(entry) + "\n")
+
+
+def _batch(job: Job) -> tuple[int, Found]:
+    return job.first, batch(job.first, BATCH, job.shrink)
 
 
 def main() -> int:
@@ -428,16 +470,21 @@
     parser.add_argument("--first", type=int, default=0, help="seed of the first batch")
     parser.add_argument("--processes", type=int, default=4)
     parser.add_argument("--shrink", action="store_true", help="make what fails short")
+    parser.add_argument("--record", type=Path, help="file of what was played; a second run goes on behind it")
     chosen = parser.parse_args()
-    jobs = [(chosen.first + n, BATCH, chosen.shrink) for n in range((chosen.plays + BATCH - 1) // BATCH)]
-    played = failed = 0
+    record = Record(chosen.record)
+    seeds = range(chosen.first, chosen.first + (chosen.plays + BATCH - 1) // BATCH)
+    jobs = [Job(first, chosen.shrink) for first in seeds if first not in record.played]
+    played = sum(record.played.get(first, 0) for first in seeds)
+    failed = 0
     with multiprocessing.Pool(chosen.processes) as pool:
-        for job, found in zip(jobs, pool.imap(_batch, jobs), strict=True):
+        for first, found in pool.imap_unordered(_batch, jobs):
+            record.add(first, found)
             played += found.played
             failed += len(found.failures)
             for failure in found.failures:
-                print(f"# batch {job[0]}\n{failure}", flush=True)
-    print(f"{played} plays, {failed} of {len(jobs)} batches failed")
+                print(f"# batch {first}\n{failure}", flush=True)
+    print(f"{played} plays of {text_name()}, {failed} of {len(seeds)} batches failed")
     return 1 if failed else 0
 
 
