Test of a keeper that is cut off: any clear answer is a fault

Read once more: the old condition passed over refusals, and half of it could not hold. A side without a majority decides nothing, so 503 or silence is all that may come.

--- a/tests/cluster/test_worst_processes.py
+++ b/tests/cluster/test_worst_processes.py
@@ -229,10 +229,8 @@
             number += 1
             answer = order(self._fleet, self._keeper, number, 1)
             self.answers += 1
-            if answer not in (503, None) and len(self.acknowledged) > 1:
-                newest = self.acknowledged[-1][1]
-                if answer == 200 or newest == 1:
-                    self.faults.append(f"order on 1 got {answer} while {newest} was in force")
+            if answer not in (503, None):
+                self.faults.append(f"a change got {answer} from a side that decides nothing")
 
 
 def cut_off_for(fleet: Fleet, links: KeeperLinks, seconds: float) -> None:
