--- a/pebbledrift/router/attempt.py
+++ b/pebbledrift/router/attempt.py
@@ -57,6 +57,7 @@
         self.answer: Message | None = None
         self.started = False
         self.written = False
+        self.end_reason = ""  # why there is no whole answer, as far as is known
         self._body = bytearray()
         self._ended = False
         self._loop = asyncio.get_running_loop()
@@ -118,6 +119,7 @@
         self._body += data
         if len(self._body) > UNARY_MOST:
             self.exchange.cancel()
+            self.end_reason = "answer too long"
             self.ended(Ending.BROKEN)
 
     def complete(self) -> None:
@@ -148,6 +150,7 @@
         if self._ended:
             return
         self._ended = True
+        self.end_reason = self.end_reason or self.exchange.end_reason
         kinds = {
             Ending.NO_CONNECTION: OutcomeKind.NO_CONNECTION,
             Ending.NOT_SENT: OutcomeKind.NOT_SENT,
--- a/pebbledrift/router/client.py
+++ b/pebbledrift/router/client.py
@@ -9,6 +9,7 @@
 from pebbledrift.bounds import Limits
 from pebbledrift.net.http import HttpError, HttpProtocol, Message, response
 
+SHUTDOWN = "shutdown"  # the reason of an end that the process made
 WAITING_MOST = 4  # requests sent in advance on one connection; beyond them nothing is read
 HOP_BY_HOP = frozenset(
     (
@@ -53,6 +54,7 @@
         self._open = False  # a request has no whole answer yet
         self._waiting: list[Message] = []
         self._keep_alive = True
+        self.end_reason = ""  # why the connection ended, as far as is known
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -90,17 +92,21 @@
 
     def malformed(self, error: HttpError) -> None:
         if self._open:
+            self.end_reason = f"malformed: {error}"
             self.abort()
             return
         self._open, self._keep_alive = True, False
         self.answer(error.status, {}, b"")
 
     def eof_received(self) -> bool:
+        self.end_reason = self.end_reason or "ended by the client"
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._table.discard(self)
         self._waiting.clear()
+        if exc is not None:
+            self.end_reason = self.end_reason or f"{type(exc).__name__}: {exc}"
         owner, self.owner = self.owner, None
         if owner is not None:
             owner.client_gone()
--- a/pebbledrift/router/exposition.py
+++ b/pebbledrift/router/exposition.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 
 from pebbledrift.cluster.exposition import Family, Sample, gauge, render
+from pebbledrift.router.cuts import CutCounts
 from pebbledrift.router.metrics import LIMITS_S, Histogram, RouteFigures, RouterMetrics
 from spoolpier.records import record
 
@@ -23,7 +24,7 @@
 
 def exposition(metrics: RouterMetrics, now: RouterGauges) -> str:
     """All figures."""
-    return render([*_gauges(now), *_counters(metrics), *_histograms(metrics)])
+    return render([*_gauges(now), *_counters(metrics), *_cuts(metrics.cuts), *_histograms(metrics)])
 
 
 def _gauges(now: RouterGauges) -> list[Family]:
@@ -51,6 +52,13 @@
         yield Family(name, "counter", f"Requests that ended, by {label}.", tuple(samples))
 
 
+def _cuts(cuts: CutCounts) -> Iterator[Family]:
+    samples = tuple(Sample(count, {"cause": cause.value}) for cause, count in cuts.by_cause.items())
+    yield Family("pebbledrift_cut_answers_total", "counter", "Answers cut before they were whole.", samples)
+    errors = (Sample(cuts.callback_errors, {}),)
+    yield Family("pebbledrift_callback_errors_total", "counter", "Exceptions in callbacks.", errors)
+
+
 def _histograms(metrics: RouterMetrics) -> Iterator[Family]:
     kinds: tuple[tuple[str, str, Callable[[RouteFigures], Histogram]], ...] = (
         ("pebbledrift_wait_seconds", "From a request's last byte to its first send.", lambda f: f.waits),
--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -12,7 +12,8 @@
 from pebbledrift.router import request as heads
 from pebbledrift.router.admitted import Admitted
 from pebbledrift.router.attempt import Attempt
-from pebbledrift.router.client import HOP_BY_HOP, ClientConnection
+from pebbledrift.router.client import HOP_BY_HOP, SHUTDOWN, ClientConnection
+from pebbledrift.router.cuts import CutCause
 from pebbledrift.router.events import EventCutter, EventTooLong
 from pebbledrift.router.metrics import NO_TENANT, Histogram, Outcome, RouterMetrics
 from pebbledrift.router.pools import WorkerPools
@@ -41,6 +42,9 @@
     def routers(self) -> int:
         """How many routers there are."""
 
+    def revision(self) -> int:
+        """The version of the configuration in force."""
+
 
 class RequestFlow:
     """One admitted request on its way. Nothing more happens once `_over` is set."""
@@ -64,6 +68,8 @@
         self._over = False
         self._may_have_run = False
         self._head_sent = False
+        self._cut_cause = CutCause.NO_ATTEMPT
+        self._last_attempt: Attempt | None = None
         self._cutter = EventCutter()
         self._failure: tuple[int, Mapping[str, str], bytes] | None = None  # a worker's own, kept for the end
         self._since = self._loop.time()  # the request came, or was sent, or the last part was passed on
@@ -83,12 +89,13 @@
         if self._over:
             return
         if attempt > 0 and not self._budget.take(self._loop.time(), self._state.routers()):
+            self._cut_cause = CutCause.RETRY_BUDGET
             self._report(attempt, instance, OutcomeKind.CANCELLED, 0.0, done=True)
             self._give_up()
             return
         if attempt == 0:
             self._note_time(self._figures.waits)
-        self._attempt = Attempt(self, attempt, instance)
+        self._attempt = self._last_attempt = Attempt(self, attempt, instance)
         self._attempt.begin(self._pool)
 
     def _note_time(self, histogram: Histogram) -> None:
@@ -132,6 +139,7 @@
             self._may_have_run = self._may_have_run or attempt.written
             attempt.cancel()
         if self._head_sent:
+            self._cut_cause = CutCause.TIME_LIMIT
             self._abort()
         elif self._may_have_run:
             self._finish_with(Outcome.FAILED, 504, {})
@@ -145,6 +153,9 @@
         """The client has left: its worker is told at once."""
         if self._over:
             return
+        if self._head_sent:
+            ours = self.client.end_reason == SHUTDOWN
+            self._note_cut(CutCause.SHUTDOWN if ours else CutCause.CLIENT)
         self._end(Outcome.CLIENT_GONE)
         if self._attempt is not None:
             self._attempt.cancel()
@@ -177,10 +188,28 @@
     def _abort(self) -> None:
         """End visibly incomplete."""
         if not self._over:
+            self._note_cut(self._cut_cause)
             self._end(Outcome.FAILED)
             self.client.owner = None
             self.client.abort()
 
+    def _note_cut(self, cause: CutCause) -> None:
+        """Leave in the log what tells why an answer that had begun is not whole."""
+        admitted, attempt = self.admitted, self._last_attempt
+        self._metrics.cuts.note(
+            cause,
+            request=admitted.message.headers.get(heads.REQUEST_ID, ""),
+            route=admitted.route.name,
+            timeout_ms=admitted.route.timeout_ms,
+            left_s=admitted.deadline - self._loop.time(),
+            silent_s=self._loop.time() - self._since,
+            revision=self._state.revision(),
+            attempt=-1 if attempt is None else attempt.number,
+            instance="" if attempt is None else attempt.instance.id,
+            attempt_end="" if attempt is None else attempt.end_reason,
+            client_end=self.client.end_reason,
+        )
+
     # the attempt's answer
 
     def _report(
@@ -227,6 +256,7 @@
         try:
             events = self._cutter.feed(data)
         except EventTooLong:
+            attempt.end_reason = "event too long"
             attempt.cancel()
             self.attempt_ended(attempt, OutcomeKind.BROKEN)
             return
@@ -248,6 +278,7 @@
     def stream_complete(self, attempt: Attempt) -> None:
         """The stream is whole, if it does not end within an event."""
         if self._cutter.partial:
+            attempt.end_reason = "ended within an event"
             self.attempt_ended(attempt, OutcomeKind.BROKEN)
             return
         self._pass_head(attempt)
@@ -283,6 +314,7 @@
         lost = ran and not self.admitted.route.idempotent
         self._report(attempt.number, attempt.instance, kind, attempt.elapsed_ms, done=lost)
         if lost:
+            self._cut_cause = CutCause.NOT_REPEATABLE
             self.fail()
 
     def attempt_cancelled(self, attempt: Attempt) -> None:
--- a/pebbledrift/router/metrics.py
+++ b/pebbledrift/router/metrics.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable
 from enum import Enum
 
+from pebbledrift.router.cuts import CutCounts
+
 LIMITS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0)
 NAMES_MOST = 1024  # routes or tenants counted on their own; the others are counted together
 OTHER = "(other)"
@@ -55,6 +57,7 @@
     def __init__(self) -> None:
         self.routes: dict[str, RouteFigures] = {}
         self.tenants: dict[str, dict[Outcome, int]] = {}
+        self.cuts = CutCounts()
 
     def follow(self, routes: Iterable[str], tenants: Iterable[str]) -> None:
         """Another configuration is in force."""
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -19,7 +19,7 @@
 from pebbledrift.overlay.messages import TokenGrant, TokenReport, TokenRequest
 from pebbledrift.router import readiness, request
 from pebbledrift.router.admitted import Admitted
-from pebbledrift.router.client import ClientConnection, RequestOwner
+from pebbledrift.router.client import SHUTDOWN, ClientConnection, RequestOwner
 from pebbledrift.router.control import ControlLinks
 from pebbledrift.router.flow import RequestFlow
 from pebbledrift.router.metrics import Outcome, RouterMetrics
@@ -71,6 +71,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self._stopping.set)
         self.loop.add_signal_handler(signal.SIGHUP, self._read_again)
+        self.metrics.cuts.watch(self.loop)
         front = await self.loop.create_server(
             lambda: ClientConnection(self.limits, self._begin, lambda: self._closing, self.clients),
             *self.boot.address_of("front"),
@@ -103,6 +104,7 @@
             await asyncio.sleep(0.05)
         front.close()
         for client in list(self.clients):
+            client.end_reason = SHUTDOWN
             client.abort()
 
     def _read_again(self) -> None:
@@ -194,6 +196,10 @@
         """How many routers there are."""
         return self.follower.routers()
 
+    def revision(self) -> int:
+        """The version of the configuration in force."""
+        return self.table.revision if self.table is not None else 0
+
     def may_use(self, instance: Instance) -> bool:
         """Whether an instance is still in service."""
         known = self.follower.registry.instances.get(instance.id)
--- a/pebbledrift/router/upstream.py
+++ b/pebbledrift/router/upstream.py
@@ -67,6 +67,7 @@
         self.idle_s = IDLE_S
         self._message: Message | None = None
         self._used = False  # it has carried another exchange before the present one
+        self.end_reason = ""  # why the connection ended, as far as is known
         self._foreign = False  # what comes is the answer to another request
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -131,6 +132,7 @@
 
     def eof_received(self) -> bool:
         message, exchange = self._message, self.exchange
+        self.end_reason = self.end_reason or "ended by the worker"
         until_close = self.parser.mode == "close"
         if until_close and message is not None and exchange is not None and not self._foreign:
             self.exchange = None
@@ -139,13 +141,17 @@
 
     def malformed(self, error: HttpError) -> None:
         log.info("malformed answer", extra={"worker": self.address[0], "reason": str(error)})
+        self.end_reason = f"malformed: {error}"
         self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
+        if exc is not None:
+            self.end_reason = self.end_reason or f"{type(exc).__name__}: {exc}"
         self.pool.lost(self)
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
+            exchange.end_reason = self.end_reason or "closed"
             exchange.listener.ended(Ending.BROKEN)
 
     @property
@@ -179,6 +185,7 @@
 
     def __init__(self, pool: WorkerPool, address: Address, listener: ExchangeListener) -> None:
         self.listener = listener
+        self.end_reason = ""  # why there was no whole answer, as far as is known
         self._pool, self._address = pool, address
         self._connection: WorkerConnection | None = None
         self._task: asyncio.Task[None] | None = None
