--- /dev/null
+++ b/tests/cluster/test_client_connections.py
@@ -0,0 +1,158 @@
+"""Connections of clients: each request that was read gets a whole answer, in order, whatever else comes.
+
+The incident: beside a change of the configuration a client's connection ended within a proper answer, and
+nothing told why. It did not come again. These are the ways found in which a connection drops a request that
+it has read, or cuts an answer, while client and worker are sound; each was red before its mend.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+
+from pebbledrift.bounds import Limits
+from pebbledrift.net.http import Message
+from pebbledrift.router.client import WAITING_MOST, ClientConnection
+
+WAIT_S = 5.0
+QUIET_S = 0.1  # a connection that has nothing more to say is believed after so long
+BODY = b"x" * 100_000  # more than the sockets between take at once
+
+
+def get(path: str, more: str = "") -> bytes:
+    return f"GET {path} HTTP/1.1\r\nHost: estate.example\r\n{more}\r\n".encode()
+
+
+class Front:
+    """A listener whose requests are answered when a test says so."""
+
+    def __init__(self) -> None:
+        self.begun: list[str] = []
+        self.connections: list[ClientConnection] = []
+        self.gone = 0
+        self.closing = False
+        self.table: set[ClientConnection] = set()
+        self.news = asyncio.Event()
+
+    async def __aenter__(self) -> Front:
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self._make, "127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        self.server.close()
+        for connection in list(self.table):
+            connection.abort()
+
+    def _make(self) -> ClientConnection:
+        return ClientConnection(Limits(), self._begin, lambda: self.closing, self.table)
+
+    def _begin(self, connection: ClientConnection, message: Message) -> Front:
+        self.begun.append(message.second)
+        self.connections.append(connection)
+        self.news.set()
+        return self
+
+    def client_gone(self) -> None:
+        self.gone += 1
+        self.news.set()
+
+    def client_slow(self, paused: bool) -> None:
+        """Nothing is held back here."""
+
+    def connect(self) -> socket.socket:
+        """A client's connection."""
+        client = socket.create_connection(self.server.sockets[0].getsockname())
+        client.setblocking(False)
+        return client
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait until something holds."""
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                await asyncio.sleep(0.002)
+
+    def answer(self) -> None:
+        """Answer the request that was begun last, with its own path."""
+        self.connections[-1].answer(200, {"Path": self.begun[-1]}, b"")
+
+
+async def read_all(client: socket.socket) -> tuple[bytes, str]:
+    """What the client gets until the connection ends or is quiet, and how it ended."""
+    loop = asyncio.get_running_loop()
+    got = b""
+    while True:
+        try:
+            async with asyncio.timeout(QUIET_S):
+                data = await loop.sock_recv(client, 65536)
+        except TimeoutError:
+            return got, "open"
+        except ConnectionError:
+            return got, "reset"
+        if not data:
+            return got, "closed"
+        got += data
+
+
+def play(scenario: Callable[[Front], Coroutine[Any, Any, None]]) -> None:
+    async def run() -> None:
+        async with Front() as front:
+            await scenario(front)
+
+    asyncio.run(run())
+
+
+def in_one_turn(front: Front, client: socket.socket, data: bytes, what: Callable[[], None]) -> None:
+    """Have an event of another connection and bytes of the client come in one turn of the loop."""
+    loop = asyncio.get_running_loop()
+    ours, theirs = socket.socketpair()
+
+    def come() -> None:
+        loop.remove_reader(ours)
+        ours.close()
+        theirs.close()
+        what()
+
+    ours.setblocking(False)
+    loop.add_reader(ours, come)
+    theirs.send(b"x")
+    client.send(data)
+
+
+def test_a_request_read_in_advance_goes_before_one_that_comes_as_it_is_its_turn() -> None:
+    async def scenario(front: Front) -> None:
+        client = front.connect()
+        await asyncio.get_running_loop().sock_sendall(client, get("/1") + get("/2"))
+        await front.until(lambda: front.begun == ["/1"])
+        in_one_turn(front, client, get("/3"), front.answer)
+        for count in (2, 3):
+            await front.until(lambda count=count: len(front.begun) >= count)  # type: ignore[misc]
+            front.answer()
+        got, _ = await read_all(client)
+        assert front.begun == ["/1", "/2", "/3"]
+        assert [line for line in got.split(b"\r\n") if line.startswith(b"Path")] == [
+            b"Path: /1",
+            b"Path: /2",
+            b"Path: /3",
+        ]
+
+    play(scenario)
+
+
+def test_bytes_at_fault_behind_a_request_leave_its_answer_whole() -> None:
+    async def scenario(front: Front) -> None:
+        client = front.connect()
+        await asyncio.get_running_loop().sock_sendall(client, get("/1") + b"no request\r\n\r\n")
+        await front.until(lambda: front.begun == ["/1"])
+        await asyncio.sleep(QUIET_S)
+        assert not front.gone, "the request was given up"
+        front.answer()
+        got, end = await read_all(client)
+        assert got.startswith(b"HTTP/1.1 200 ") and b"Path: /1" in got
+        assert b"HTTP/1.1 400 " in got and end == "closed"
+
+    play(scenario)
--- a/tests/cluster/test_upstream.py
+++ b/tests/cluster/test_upstream.py
@@ -257,3 +257,26 @@
             assert asked.whole and len(asked.received) == LARGE
 
     play(scenario)
+
+
+def test_a_connection_kept_after_a_slow_client_hears_the_next_answer() -> None:
+    """The client reads slowly as the answer's last bytes are taken in; the next request waited for ever."""
+
+    class Slow(Asked):
+        exchange: Exchange
+
+        def body(self, data: bytes) -> None:
+            super().body(data)
+            self.exchange.hold(True)
+
+    async def scenario() -> None:
+        async with Worker(serve_all) as worker:
+            first = Slow()
+            first.exchange = Exchange(worker.pool, worker.address, first)
+            first.exchange.begin()
+            await asyncio.wait_for(first.over.wait(), WAIT_S)
+            first.exchange.hold(False)  # the client reads on
+            following = await worker.ask()
+            assert following.whole and following.received == b"from 1"
+
+    play(scenario)
