Router: every request read on a client's connection is answered, in its order

Cause: a request read in advance was begun by the loop's next turn, and a newer one that came in the turn went before it and took its place; bytes behind a request that are none ended its answer; a connection with such a request counted as at rest, and was dropped behind an answer that ends it; a close over unread input reset the connection; an exception in the first steps left it without an answer. A worker's connection that a slow client had paused was kept so, and the next answer on it was not heard.

--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -311,6 +311,7 @@
             self._share_load()
             limits = self.table.limits if self.table is not None else ClientLimits()
             for client in list(self.clients):
+                client.look_for_end()
                 if client.resting and now - client.since > limits.idle_timeout_s:
                     client.close()
                 elif client.late(now, limits.header_timeout_s):
--- a/pebbledrift/router/upstream.py
+++ b/pebbledrift/router/upstream.py
@@ -272,6 +272,7 @@
         if connection.closed or len(idle) >= self._idle_most or connection.idle_s <= 0:
             connection.close()
             return
+        connection.hold(False)  # a slow client may have paused it: its next answer would not be heard
         connection.idle_until = self._loop.time() + connection.idle_s
         idle.append(connection)
 
--- a/tests/cluster/test_client_connections.py
+++ b/tests/cluster/test_client_connections.py
@@ -12,15 +12,13 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-import pytest
-
 from pebbledrift.bounds import Limits
 from pebbledrift.net.http import Message
 from pebbledrift.router.client import WAITING_MOST, ClientConnection
 
 WAIT_S = 5.0
 QUIET_S = 0.1  # a connection that has nothing more to say is believed after so long
-BODY = b"x" * 100_000  # more than the sockets between take at once
+BODY = b"x" * 4_000_000  # more than the sockets between take at once
 
 
 def get(path: str, more: str = "") -> bytes:
@@ -66,7 +64,9 @@
 
     def connect(self) -> socket.socket:
         """A client's connection."""
-        client = socket.create_connection(self.server.sockets[0].getsockname())
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
+        client.connect(self.server.sockets[0].getsockname())
         client.setblocking(False)
         return client
 
@@ -156,3 +156,89 @@
         assert b"HTTP/1.1 400 " in got and end == "closed"
 
     play(scenario)
+
+
+def test_a_connection_is_not_at_rest_while_a_request_waits_to_be_begun() -> None:
+    """Connections at rest are closed in a sweep or as the process leaves; the request had been read."""
+
+    async def scenario(front: Front) -> None:
+        client = front.connect()
+        await asyncio.get_running_loop().sock_sendall(client, get("/1") + get("/2"))
+        await front.until(lambda: front.begun == ["/1"])
+        front.answer()
+        connection = front.connections[-1]
+        assert connection.busy and not connection.resting
+        await front.until(lambda: front.begun == ["/1", "/2"])
+        front.answer()
+        assert connection.resting
+
+    play(scenario)
+
+
+def test_what_was_read_in_advance_is_answered_while_the_process_leaves() -> None:
+    async def scenario(front: Front) -> None:
+        client = front.connect()
+        await asyncio.get_running_loop().sock_sendall(client, get("/1") + get("/2") + get("/3"))
+        await front.until(lambda: front.begun == ["/1"])
+        await asyncio.sleep(0)
+        front.closing = True
+        for count in (1, 2, 3):
+            await front.until(lambda count=count: len(front.begun) == count)  # type: ignore[misc]
+            front.answer()
+        got, end = await read_all(client)
+        assert got.count(b"HTTP/1.1 200 ") == 3 and b"Path: /3" in got
+        assert got.count(b"Connection: close") == 1 and b"Connection: close" in got[got.index(b"Path: /3") :]
+        assert end == "closed"
+
+    play(scenario)
+
+
+def test_a_last_answer_is_whole_though_bytes_of_the_client_were_not_read() -> None:
+    """A close over unread input resets the connection, and what the kernel has not delivered yet is lost."""
+
+    async def scenario(front: Front) -> None:
+        loop = asyncio.get_running_loop()
+        client = front.connect()
+        await loop.sock_sendall(client, get("/1", "Connection: close\r\n"))
+        await front.until(lambda: front.begun == ["/1"])
+        in_one_turn(front, client, get("/2"), lambda: front.connections[-1].answer(200, {}, BODY))
+        got, end = await read_all(client)
+        assert got.endswith(BODY) and len(got) - len(BODY) < 200, f"{len(got)} bytes, {end}"
+        assert end == "closed", "a reset may overtake the answer"
+
+    play(scenario)
+
+
+def test_a_fault_of_ours_is_answered_and_nothing_more_is_begun() -> None:
+    async def scenario(front: Front) -> None:
+        def failing(connection: ClientConnection, message: Message) -> Front:
+            connection.owner = front
+            raise KeyError("unforeseen")
+
+        front._begin = failing  # type: ignore[method-assign]
+        client = front.connect()
+        await asyncio.get_running_loop().sock_sendall(client, get("/1") + get("/2"))
+        got, end = await read_all(client)
+        assert got.startswith(b"HTTP/1.1 500 ") and got.count(b"HTTP/1.1") == 1 and end == "closed"
+        assert front.gone == 1
+
+    play(scenario)
+
+
+def test_a_client_that_has_sent_much_in_advance_and_leaves_is_noticed() -> None:
+    async def scenario(front: Front) -> None:
+        client = front.connect()
+        for number in range(WAITING_MOST + 2):
+            await asyncio.get_running_loop().sock_sendall(client, get(f"/{number}"))
+        await front.until(lambda: front.begun == ["/0"])
+        connection = front.connections[-1]
+        await front.until(lambda: len(connection._waiting) >= WAITING_MOST)
+        connection.look_for_end()
+        await asyncio.sleep(0)
+        assert not front.gone
+        client.close()
+        await asyncio.sleep(0.01)
+        connection.look_for_end()
+        await front.until(lambda: front.gone == 1)
+
+    play(scenario)
