--- a/pebbledrift/router/client.py
+++ b/pebbledrift/router/client.py
@@ -64,7 +64,8 @@
         self.owner: RequestOwner | None = None
         self.since = 0.0  # when the connection came to rest, or the request began to come
         self._open = False  # a request has no whole answer yet
-        self._waiting: deque[Message] = deque()  # requests read in advance
+        self._waiting: deque[tuple[float, Message]] = deque()  # requests read in advance, and when
+        self.arrived = 0.0  # when the last byte of the open request came
         self._fault: HttpError | None = None  # what stands behind them is no request
         self._passed_over = 0  # bytes behind the fault
         self._ending: Ending | LastAnswer | None = None  # the last answer was written
@@ -101,14 +102,14 @@
     def message_received(self, message: Message) -> None:
         # also while an earlier one waits for the loop to begin it: a newer one may not go before it
         if self.busy:
-            self._waiting.append(message)
+            self._waiting.append((self._loop.time(), message))
             if len(self._waiting) >= WAITING_MOST and self.transport is not None:
                 self.transport.pause_reading()
             return
-        self._start(message)
+        self._start(self._loop.time(), message)
 
-    def _start(self, message: Message) -> None:
-        self._open = True
+    def _start(self, arrived: float, message: Message) -> None:
+        self._open, self.arrived = True, arrived
         self._keep_alive = message.keep_alive
         try:
             self.owner = self._begin(self, message)
@@ -123,10 +124,10 @@
     def _start_next(self) -> None:
         """Begin the request that has waited longest."""
         if self.alive and not self._open and self._waiting:
-            message = self._waiting.popleft()
+            arrived, message = self._waiting.popleft()
             if self.transport is not None and self._fault is None:
                 self.transport.resume_reading()
-            self._start(message)
+            self._start(arrived, message)
 
     def malformed(self, error: HttpError) -> None:
         """What came is no request: answered once all before it are, and nothing is read behind it."""
--- a/pebbledrift/router/control.py
+++ b/pebbledrift/router/control.py
@@ -33,6 +33,7 @@
         self._server: asyncio.Server | None = None
         self._service: GossipService | None = None
         self._opening: asyncio.Task[None] | None = None
+        self._closed = False
         self._timer = self._loop.call_later(TICK_S, self._tick)
         self._follow()
 
@@ -66,6 +67,8 @@
 
     def _follow(self) -> None:
         """Have the connections that the node wants, and no others."""
+        if self._closed:
+            return  # the end of a connection must not begin another in a loop that ends
         wanted = self.node.tick(self._loop.time())
         for name in [name for name in self._dialers if name not in wanted]:
             self._dialers.pop(name).close()
@@ -131,6 +134,7 @@
 
     def close(self) -> None:
         """End all connections."""
+        self._closed = True
         self._timer.cancel()
         for dialer in self._dialers.values():
             dialer.close()
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -219,9 +219,8 @@
 
     def _begin(self, client: ClientConnection, message: Message) -> RequestOwner | None:
         """A request was read."""
-        arrived = self.loop.time()
         table = self.table
-        if arrived > self._refuse_from:
+        if self.loop.time() > self._refuse_from:
             client.answer(503, {"Retry-After": f"{LEAVING_RETRY_S:.3f}"}, b"")
             return None
         if table is None or not self._started():
@@ -245,7 +244,7 @@
             route=route,
             tenant=tenant,
             strip_key=table.with_tenants,
-            deadline=arrived + wait_ms / 1000.0,
+            deadline=client.arrived + wait_ms / 1000.0,  # waiting behind others on the connection counts
             key=prompt.key() if prompt is not None else None,
             prompt_tokens=None if prompt is None else prompt.tokens_in,
         )
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -168,6 +168,7 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.workers: list[Worker] = []
         self.bootstrap = True
+        self.bounds: dict[str, Any] = {}  # of the settings, in the place of the usual ones
         self.break_after: int | None = None  # events of the next stream, then its connection ends
 
     def settings(self, address: str, role: str) -> dict[str, Any]:
@@ -189,7 +190,7 @@
             "data-dir": str(self.folder / address) if keeper else None,
             "heartbeat-ms": HEARTBEAT_S * 1000,
             "fault-tolerance": {"machines": 1},
-            "bounds": {"grace-s": 3, "quota-window-s": 8, "retry-budget-slack": 60},
+            "bounds": {"grace-s": 3, "quota-window-s": 8, "retry-budget-slack": 60, **self.bounds},
         }
 
     def start(self, address: str) -> None:
