Roles: SIGHUP is held back until it is listened to, and from the moment that it is not any more

Cause: without a handler SIGHUP ends a process; a router or keeper has none until its loop runs, about 0.2 s after its start. The node in service holds it back; the roles did not. Also: a router that ends makes no new uplinks while its loop is being closed.

--- a/pebbledrift/cluster/roles.py
+++ b/pebbledrift/cluster/roles.py
@@ -10,6 +10,7 @@
 
 from pebbledrift.cluster import boot
 from pebbledrift.cluster.errors import BootError
+from pebbledrift.signals import hold_sighup
 
 EXIT_SETTINGS = 2
 DISKLESS_START_S = 1.0  # nobody waits for a keeper without a disk: the router beside it starts first
@@ -39,6 +40,7 @@
 
 def run(role: str) -> int:
     """Read the boot settings and serve; returns the exit code."""
+    hold_sighup(True)
     path = os.environ.get(boot.VARIABLE, boot.DEFAULT_PATH)
     try:
         settings = boot.load(path)
--- a/pebbledrift/cores/core.py
+++ b/pebbledrift/cores/core.py
@@ -35,7 +35,8 @@
 from pebbledrift.cores.start import Start
 from pebbledrift.inventory import InventoryError
 from pebbledrift.net.link import Fields, Link
-from pebbledrift.node import Node, hold_sighup, log_lost_errors, settle_memory
+from pebbledrift.node import Node, log_lost_errors, settle_memory
+from pebbledrift.signals import hold_sighup
 from pebbledrift.store.table import StoreError
 from spoolpier import interface as api
 
--- a/pebbledrift/cores/supervisor.py
+++ b/pebbledrift/cores/supervisor.py
@@ -41,9 +41,10 @@
 from pebbledrift.net.front import listening_socket
 from pebbledrift.net.lines import LineServer
 from pebbledrift.net.link import Fields, Link
-from pebbledrift.node import ReadAgain, hold_sighup, log_lost_errors
+from pebbledrift.node import ReadAgain, log_lost_errors
 from pebbledrift.pool import worker_number
 from pebbledrift.reload import Reloader
+from pebbledrift.signals import hold_sighup
 
 log = logging.getLogger("pebbledrift")
 
--- a/pebbledrift/keeper/service.py
+++ b/pebbledrift/keeper/service.py
@@ -33,6 +33,7 @@
 )
 from pebbledrift.overlay.publisher import children_for
 from pebbledrift.overlay.root import RelayRoot
+from pebbledrift.signals import hold_sighup
 
 if TYPE_CHECKING:
     from pebbledrift.overlay.endpoint import GossipService
@@ -104,6 +105,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self._stopping.set)
         self.loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        hold_sighup(False)
         server = await serve(self.internal, self.network)
         ticking = self.loop.create_task(self._tick())
         threading.Thread(target=self._serve_control, name="control", daemon=True).start()
@@ -111,6 +113,7 @@
         await self._stopping.wait()
         log.info("leaving")
         await self._hand_over()
+        hold_sighup(True)
         ticking.cancel()
         server.close()
         self.network.close()
--- a/pebbledrift/node.py
+++ b/pebbledrift/node.py
@@ -26,6 +26,7 @@
 from pebbledrift.net.lines import LineServer
 from pebbledrift.pool import PoolConfig
 from pebbledrift.reload import Reloader
+from pebbledrift.signals import hold_sighup
 from pebbledrift.store.service import NodeStore
 from pebbledrift.upgrade import Upgrade
 
@@ -452,8 +453,3 @@
     """Spare the collector what the start has left, which stays."""
     gc.collect()
     gc.freeze()
-
-
-def hold_sighup(hold: bool) -> None:
-    """Guards a node that starts: a SIGHUP before its handler is there would end it; held, it comes then."""
-    signal.pthread_sigmask(signal.SIG_BLOCK if hold else signal.SIG_UNBLOCK, {signal.SIGHUP})
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -29,6 +29,7 @@
 from pebbledrift.router.routes import Backend, ClientLimits, Route, RoutingTable, Tenant
 from pebbledrift.router.tokens import TokenPurse
 from pebbledrift.router.upstream import WorkerPool
+from pebbledrift.signals import hold_sighup
 
 log = logging.getLogger(__name__)
 
@@ -71,6 +72,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self._stopping.set)
         self.loop.add_signal_handler(signal.SIGHUP, self._read_again)
+        hold_sighup(False)
         self.metrics.cuts.watch(self.loop)
         front = await self.loop.create_server(
             lambda: ClientConnection(self.limits, self._begin, lambda: self._closing, self.clients),
@@ -85,6 +87,7 @@
         await self._stopping.wait()
         await self._drain(front)
         sweeping.cancel()
+        hold_sighup(True)
         ready.close()
         self.control.close()
         self.pool.close()
--- a/pebbledrift/single.py
+++ b/pebbledrift/single.py
@@ -11,7 +11,8 @@
 from pebbledrift import logs
 from pebbledrift.config import Config, ConfigError, load
 from pebbledrift.inventory import InventoryError
-from pebbledrift.node import Node, ReadAgain, hold_sighup
+from pebbledrift.node import Node, ReadAgain
+from pebbledrift.signals import hold_sighup
 from pebbledrift.store.table import StoreError
 
 log = logging.getLogger("pebbledrift")
