--- a/rig/soak.py
+++ b/rig/soak.py
@@ -119,7 +119,16 @@
         await asyncio.gather(*clients)
 
     def _wait_ready(self, number: int) -> None:
-        wait_for(lambda: self.fleet.ready(number), f"router {number} ready", LONGEST_S + START_S)
+        address = self.fleet.routers[number]
+
+        def ready() -> bool:
+            if self.fleet.processes[address].poll() == -signal.SIGHUP:
+                # it came before the interpreter ran the program: whoever runs the machine starts it again
+                self._done["ended by SIGHUP before their program ran"] += 1
+                self.fleet.start(address)
+            return self.fleet.ready(number)
+
+        wait_for(ready, f"router {number} ready", LONGEST_S + START_S)
 
     def _choose(self, drawn: random.Random) -> str:
         """A router as the platform hands out new connections: not one that is known to leave."""
--- a/rig/soak_records.py
+++ b/rig/soak_records.py
@@ -8,6 +8,7 @@
 
 CROSSING_S = 0.3  # a request unread so soon after it was sent has crossed the connection's end
 LATE_S = 0.5  # an answer may come so long after the client's time
+SOUND = frozenset((200, 503))  # with workers that are well no other answer is owed
 NOT_RUN = frozenset((408, 421, 429, 503))  # statuses that promise that a request has not run
 
 
@@ -60,6 +61,8 @@
         found.append("LOST")
     if request.problem:
         found.append(request.problem)
+    if request.end is End.WHOLE and request.status not in SOUND:
+        found.append("FAILED")
     if request.route in once and workers.run[request.name] > 1:
         found.append("RUN TWICE")
     refused = request.end is End.WHOLE and request.status in NOT_RUN
--- a/rig/soak_worker.py
+++ b/rig/soak_worker.py
@@ -16,6 +16,7 @@
 
 HEARTBEAT_S = 0.3
 ANSWER_S = 1.0
+IDLE_S = 2  # a connection at rest is closed after so long, and each answer says so
 DRAIN_S = 2.0  # a draining worker serves on for so long after its word was taken
 
 
@@ -114,8 +115,10 @@
         self._writers.add(writer)
         try:
             while True:
-                await self._answer(await _read(reader), writer)
-        except (asyncio.IncompleteReadError, ConnectionError):
+                async with asyncio.timeout(IDLE_S):
+                    request = await _read(reader)
+                await self._answer(request, writer)
+        except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
             writer.close()
         finally:
             self._writers.discard(writer)
@@ -166,4 +169,5 @@
 
 def _head(request: _Request, status: str, seal: str) -> bytes:
     sealed = f"X-Pebbledrift-Response-Seal: {seal}\r\n" if seal else ""
-    return f"HTTP/1.1 {status}\r\nX-Pebbledrift-Request-Id: {request.name}\r\n{sealed}".encode()
+    lines = f"HTTP/1.1 {status}\r\nX-Pebbledrift-Request-Id: {request.name}\r\n{sealed}"
+    return f"{lines}Keep-Alive: timeout={IDLE_S}\r\n".encode()
