Router: one attempt ends once; a request that is given up ends at its worker at once; a fault with one leaves the others their decisions

Cause: an event without end was told as given up by us, so that 'broken' was not heard behind it; a request that the decisions gave up left its worker at work; an exception in one action of a step lost all behind it, whose requests then waited for their time. A kept connection that was taken in vain counted as fresh, though its worker counted on from its last answer. Tests: test_flow.py, test_upstream.py.

--- a/pebbledrift/router/attempt.py
+++ b/pebbledrift/router/attempt.py
@@ -81,6 +81,14 @@
             self.exchange.cancel()
             self.flow.attempt_cancelled(self)
 
+    def break_off(self, reason: str) -> None:
+        """End it as broken: what the worker sends cannot be used."""
+        if not self._ended:
+            self._ended = True
+            self.end_reason = reason
+            self.exchange.cancel()
+            self.flow.attempt_ended(self, OutcomeKind.BROKEN)
+
     # the exchange tells
 
     def may_write(self) -> bool:
@@ -118,9 +126,7 @@
             return
         self._body += data
         if len(self._body) > UNARY_MOST:
-            self.exchange.cancel()
-            self.end_reason = "answer too long"
-            self.ended(Ending.BROKEN)
+            self.break_off("answer too long")
 
     def complete(self) -> None:
         """The answer is whole."""
--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -157,8 +157,6 @@
             ours = self.client.end_reason == SHUTDOWN
             self._note_cut(CutCause.SHUTDOWN if ours else CutCause.CLIENT)
         self._end(Outcome.CLIENT_GONE)
-        if self._attempt is not None:
-            self._attempt.cancel()
         self._placement.gone(self.admitted.name)
 
     def client_slow(self, paused: bool) -> None:
@@ -171,6 +169,8 @@
         tenant = self.admitted.tenant
         self._metrics.ended(self.admitted.route.name, tenant.name if tenant else NO_TENANT, outcome)
         self._timer.cancel()
+        if self._attempt is not None:
+            self._attempt.cancel()  # one that is still out is of no use: its worker is told at once
         self._pools.ended(self._placement)
         self._placement.end(self.admitted.name)
 
@@ -256,9 +256,7 @@
         try:
             events = self._cutter.feed(data)
         except EventTooLong:
-            attempt.end_reason = "event too long"
-            attempt.cancel()
-            self.attempt_ended(attempt, OutcomeKind.BROKEN)
+            attempt.break_off("event too long")
             return
         if events:
             if not attempt.started:
--- a/pebbledrift/router/placement.py
+++ b/pebbledrift/router/placement.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import hashlib
+import logging
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Protocol
@@ -17,6 +18,8 @@
 from spoolpier import interface as api
 from spoolpier.brain import Dispatcher
 
+log = logging.getLogger(__name__)
+
 CLASSES_MOST = 4096
 NO_CLASS = api.JobClass(aim_ms=1000.0, deadline_ms=1000.0)
 RETRY_AFTER_MS = 100.0
@@ -85,15 +88,23 @@
         self._due = False
         events, self._events = self._events, []
         for action in self._dispatcher.step(self._now_ms(), events):
-            self._carry_out(action)
+            if isinstance(action, api.Wake):
+                self._set_wake(action.at_ms / 1000.0)
+            else:
+                self._act_on_job(action)
 
-    def _carry_out(self, action: api.Action) -> None:
-        if isinstance(action, api.Wake):
-            self._set_wake(action.at_ms / 1000.0)
-            return
+    def _act_on_job(self, action: api.Action) -> None:
         job = self._jobs.get(getattr(action, "job", ""))
         if job is None:
             return
+        try:
+            self._carry_out(action, job)
+        except Exception:
+            # the step's other actions are for other requests: one that fails may not take theirs with it
+            log.exception("request failed")
+            job.request.fail()
+
+    def _carry_out(self, action: api.Action, job: _Job) -> None:
         if isinstance(action, api.Send):
             number, job.attempts = job.attempts, job.attempts + 1
             job.request.send(number, self._instances[action.worker])
--- a/pebbledrift/router/upstream.py
+++ b/pebbledrift/router/upstream.py
@@ -72,6 +72,11 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        self._rest()
+
+    def _rest(self) -> None:
+        """The worker counts the time at rest from here on, also while we take the connection in vain."""
+        self.idle_until = asyncio.get_running_loop().time() + self.idle_s
 
     def pause_writing(self) -> None:
         """A worker that reads slowly is waited for: one request is all that is ever unsent."""
@@ -120,6 +125,7 @@
         self.exchange = None
         self._used = True
         if message.keep_alive and not self.parser.inside and self._all_written:
+            self._rest()
             self.pool.give_back(self)
         else:
             self.close()
@@ -273,7 +279,6 @@
             connection.close()
             return
         connection.hold(False)  # a slow client may have paused it: its next answer would not be heard
-        connection.idle_until = self._loop.time() + connection.idle_s
         idle.append(connection)
 
     def share(self, max_connections: int, routers: int) -> None:
--- a/tests/cluster/test_flow.py
+++ b/tests/cluster/test_flow.py
@@ -38,7 +38,7 @@
 
     def __init__(self) -> None:
         self.outcomes: list[tuple[int, OutcomeKind]] = []
-        self.ended = asyncio.Event()
+        self.told = asyncio.Event()
 
     def choose(self, prompt_tokens: float | None) -> Recorder:
         return self
@@ -46,6 +46,9 @@
     def began(self, placement: object) -> None:
         """Not counted."""
 
+    def ended(self, placement: object) -> None:
+        """Not counted."""
+
     def submit(self, *request: object) -> None:
         """Placed by the test."""
 
@@ -56,13 +59,13 @@
         self, name: str, attempt: int, instance: Instance, kind: OutcomeKind, elapsed_ms: float, done: bool
     ) -> None:
         self.outcomes.append((attempt, kind))
-        self.ended.set()
+        self.told.set()
 
     def gone(self, name: str) -> None:
         """Not noted."""
 
     def end(self, name: str) -> None:
-        self.ended.set()
+        self.told.set()
 
 
 class State:
@@ -103,7 +106,9 @@
 
         worker = await asyncio.start_server(serve, "127.0.0.1", 0)
         host, port = worker.sockets[0].getsockname()
-        self.instance = parse_heartbeat("i-1", {"backend": "lm", "address": f"{host}:{port}"})
+        self.instance = parse_heartbeat(
+            "i-1", {"backend": "lm", "address": f"{host}:{port}", "state": "ready"}
+        )
         front = await loop.create_server(
             lambda: ClientConnection(Limits(), self._begin, lambda: False, set()), "127.0.0.1", 0
         )
@@ -144,10 +149,13 @@
     monkeypatch.setattr(events, "EVENT_MOST", 1000)
 
     async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        writer.write(HEAD + b"9\r\ndata: 1\n\n\r\n" + b"fa0\r\n" + b"x" * 4000 + b"\r\n")
+        writer.write(HEAD + b"9\r\ndata: 1\n\n\r\n")
+        for _ in range(3):
+            await asyncio.sleep(0.02)  # each is read on its own
+            writer.write(b"fa0\r\n" + b"x" * 4000 + b"\r\n")
 
     async def then(play: Play) -> None:
-        await play.decisions.ended.wait()
+        await play.decisions.told.wait()
         await play.worker_left.wait()
         assert play.decisions.outcomes == [(0, OutcomeKind.BROKEN)]
         assert play.flow is not None
--- a/tests/cluster/test_upstream.py
+++ b/tests/cluster/test_upstream.py
@@ -280,3 +280,18 @@
             assert following.whole and following.received == b"from 1"
 
     play(scenario)
+
+
+def test_a_connection_that_is_taken_in_vain_rests_on_for_the_worker() -> None:
+    """Its worker closes it by its own time; a request written then may be lost that may not run twice."""
+
+    async def scenario() -> None:
+        async with Worker(serve_all) as worker:
+            assert (await worker.ask()).whole
+            connection = worker.pool._idle[worker.address][0]
+            before = connection.idle_until
+            await asyncio.sleep(0.01)
+            assert (await worker.ask(allowed=False)).ending is Ending.NOT_SENT
+            assert worker.pool._idle[worker.address] == [connection] and connection.idle_until == before
+
+    play(scenario)
