Router: one that leaves takes on only what it will probably finish

Cause: after SIGTERM everything read in the first 2.5 s was taken on, however long it would take, and what was open 0.7 s before the end of the grace was cut. Change: the time that a request needs is estimated from the latest of its route, by the tokens that it declares; what does not fit, or of which nothing is known, is refused at once with a time to come back. SIGTERM leaves a line in the router's log.

--- a/pebbledrift/router/admitted.py
+++ b/pebbledrift/router/admitted.py
@@ -19,3 +19,5 @@
     deadline: float  # loop time
     key: int | None
     prompt_tokens: float | None
+    output_tokens: float | None  # the most that the client wants
+    arrived: float  # loop time of its last byte
--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -273,6 +273,10 @@
             assert attempt.answer is not None
             self.client.head(attempt.answer.status, passed_headers(attempt.answer))
 
+    def _note_run_time(self) -> None:
+        admitted = self.admitted
+        self._figures.run_times.note(admitted.output_tokens, self._loop.time() - admitted.arrived)
+
     def stream_complete(self, attempt: Attempt) -> None:
         """The stream is whole, if it does not end within an event."""
         if self._cutter.partial:
@@ -280,6 +284,7 @@
             self.attempt_ended(attempt, OutcomeKind.BROKEN)
             return
         self._pass_head(attempt)
+        self._note_run_time()
         self._report(attempt.number, attempt.instance, OutcomeKind.SERVED, attempt.elapsed_ms, done=True)
         self._end(Outcome.SERVED)
         self.client.end()
@@ -290,6 +295,7 @@
         assert head is not None
         succeeded = 200 <= head.status < 300 and heads.SEAL in head.headers
         if succeeded:
+            self._note_run_time()
             self._report(attempt.number, attempt.instance, OutcomeKind.SERVED, attempt.elapsed_ms, done=True)
             self._finish_with(Outcome.SERVED, head.status, passed_headers(head), body)
             return
--- a/pebbledrift/router/metrics.py
+++ b/pebbledrift/router/metrics.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 from pebbledrift.router.cuts import CutCounts
+from pebbledrift.router.run_times import RunTimes
 
 LIMITS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0)
 NAMES_MOST = 1024  # routes or tenants counted on their own; the others are counted together
@@ -42,12 +43,13 @@
 class RouteFigures:
     """The figures of one route."""
 
-    __slots__ = ("first", "outcomes", "pauses", "waits")
+    __slots__ = ("first", "outcomes", "pauses", "run_times", "waits")
 
     def __init__(self) -> None:
         self.outcomes: dict[Outcome, int] = dict.fromkeys(Outcome, 0)
         self.waits = Histogram()  # from the last byte of a request to its first send
         self.first = Histogram()  # from there to the first event or the whole answer
+        self.run_times = RunTimes()
         self.pauses = Histogram()  # between parts of a stream that were passed on
 
 
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -63,6 +63,7 @@
         self._stopping = asyncio.Event()
         self._closing = False
         self._refuse_from = math.inf  # while leaving: what is read later than that could not be finished
+        self._drain_end = math.inf  # while leaving: what is open then is given up
         self._listening_since = 0.0
         self._was_started = False
         self._mismatched: dict[str, None] = {}
@@ -95,7 +96,9 @@
     async def _drain(self, front: asyncio.Server) -> None:
         """Answer what was read; connections end with their answers, idle ones a moment later."""
         self._closing = True
+        log.info("leaving")
         end = self.loop.time() + max(0.5, self.boot.bounds.grace_s - CLOSE_BEFORE_GRACE_S)
+        self._drain_end = end
         leave = self._refuse_from = self.loop.time() + min(LEAVE_MOST_S, self.boot.bounds.grace_s / 3)
         while self.loop.time() < end:
             now = self.loop.time()
@@ -250,9 +253,23 @@
             deadline=client.arrived + wait_ms / 1000.0,  # waiting behind others on the connection counts
             key=prompt.key() if prompt is not None else None,
             prompt_tokens=None if prompt is None else prompt.tokens_in,
+            output_tokens=None if prompt is None else prompt.tokens_out,
+            arrived=client.arrived,
         )
+        if self._closing and not self._may_finish(admitted):
+            client.answer(503, {"Retry-After": f"{LEAVING_RETRY_S:.3f}"}, b"")
+            return None
         return self._admit(client, admitted, tenant, None if prompt is None else prompt.tokens)
 
+    def _may_finish(self, admitted: Admitted) -> bool:
+        """Whether a request will probably be over before this process is: else another router takes it.
+
+        What is still open at the end of the grace is cut, and a client cannot tell how much of it was done.
+        """
+        needed = self.metrics.of_route(admitted.route.name).run_times.estimate(admitted.output_tokens)
+        now = self.loop.time()
+        return now + min(needed, admitted.deadline - now) <= self._drain_end
+
     def _startup_retry(self) -> str:
         """When the start will probably be over."""
         left = self._listening_since + STARTUP_S - self.loop.time()
--- a/tests/cluster/test_flow.py
+++ b/tests/cluster/test_flow.py
@@ -129,7 +129,7 @@
 
     def _begin(self, client: ClientConnection, message: Message) -> RequestFlow:
         deadline = asyncio.get_running_loop().time() + WAIT_S
-        request = Admitted(NAME, message, streaming_route(), None, False, deadline, None, None)
+        request = Admitted(NAME, message, streaming_route(), None, False, deadline, None, None, None, 0.0)
         decisions = cast(Any, self.decisions)
         budget = RetryBudget(0.2, 10.0, 60.0)
         self.flow = RequestFlow(request, client, decisions, self.pool, budget, State(), self.metrics)
--- a/tests/cluster/test_worker_answers.py
+++ b/tests/cluster/test_worker_answers.py
@@ -241,7 +241,7 @@
     table = RoutingTable(example_config(1))
     route = next(route for routes in table.routes.values() for route in routes if not route.streaming)
     message = Message("POST", "/x", {ID.lower(): name}, True)
-    return Admitted(name, message, route, None, False, 0.0, None, None)
+    return Admitted(name, message, route, None, False, 0.0, None, None, None, 0.0)
 
 
 async def ask(pool: WorkerPool, address: tuple[str, int], name: str, size: int, patience_s: float) -> Asked:
