--- a/pebbledrift/router/run_times.py
+++ b/pebbledrift/router/run_times.py
@@ -6,8 +6,8 @@
 from collections import deque
 
 SAMPLES = 64
-QUANTILE = 0.95
-MARGIN = 1.25  # a worker that has become slower since must still be in time
+SAMPLES_LEAST = 16  # fewer say too little of the slowest
+MARGIN = 1.5  # over the slowest of them: a worker that has become slower since must still be in time
 
 
 class RunTimes:
@@ -23,11 +23,10 @@
         self._paces.append(seconds / _units(tokens))
 
     def estimate(self, tokens: float | None) -> float:
-        """A time that the next request will hardly exceed, in seconds; infinite where nothing is known."""
-        if not self._paces:
+        """A time that the next request will hardly exceed, in seconds; infinite where too little is known."""
+        if len(self._paces) < SAMPLES_LEAST:
             return math.inf
-        paces = sorted(self._paces)
-        return MARGIN * paces[math.ceil(QUANTILE * len(paces)) - 1] * _units(tokens)
+        return MARGIN * max(self._paces) * _units(tokens)
 
 
 def _units(tokens: float | None) -> float:
--- a/tests/cluster/test_leaving.py
+++ b/tests/cluster/test_leaving.py
@@ -16,11 +16,12 @@
 
 import pytest
 
+from pebbledrift.router.run_times import SAMPLES_LEAST
 from rig.fleet import API_KEY, LONGEST_S, Fleet, example_config, wait_for
 
 WAIT_MS = 10_000
-SLOW_PAUSE_S, FAST_PAUSE_S = 1.0, 0.02  # between events; three make a stream
-LONG, SHORT = 3000, 30  # tokens that a request declares
+SLOW_PAUSE_S, FAST_PAUSE_S = 1.0, 0.05  # between events; three make a stream
+LONG, SHORT = 3000, 150  # tokens that a request declares, each of a millisecond
 
 
 class Client:
@@ -57,10 +58,9 @@
         assert fleet.replace(config, 0) == 200
         wait_for(lambda: fleet.ready(0), "the router ready")
         clients = [Client(fleet) for _ in range(2)]
-        worker.event_pause_s = SLOW_PAUSE_S
-        assert clients[0].stream(LONG)[0] == 200
         worker.event_pause_s = FAST_PAUSE_S
-        assert clients[1].stream(SHORT)[0] == 200
+        for number in range(SAMPLES_LEAST):
+            assert clients[number % 2].stream(SHORT)[0] == 200
 
         process = fleet.processes[fleet.routers[0]]
         process.send_signal(signal.SIGTERM)
