--- a/tests/cluster/test_metrics.py
+++ b/tests/cluster/test_metrics.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+
+import pytest
+
 from pebbledrift.cluster.exposition import Family, Sample, render
 from pebbledrift.keeper.exposition import exposition as keeper_exposition
+from pebbledrift.router.cuts import CutCause
 from pebbledrift.router.exposition import RouterGauges, exposition
 from pebbledrift.router.metrics import NAMES_MOST, OTHER, Outcome, RouterMetrics
 
@@ -26,6 +31,35 @@
     assert "pebbledrift_config_revision 7" in found and "pebbledrift_ready 1" in found
 
 
+def test_answers_that_are_cut_are_counted_by_cause_and_logged_with_their_state(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    metrics = RouterMetrics()
+    metrics.cuts.note(CutCause.TIME_LIMIT, request="r-1", left_s=0.02)
+    found = lines(metrics)
+    assert 'pebbledrift_cut_answers_total{cause="time_limit"} 1' in found
+    assert 'pebbledrift_cut_answers_total{cause="shutdown"} 0' in found
+    record = vars(caplog.records[-1])
+    assert record["msg"] == "answer cut" and record["cause"] == "time_limit" and record["request"] == "r-1"
+
+
+def test_exceptions_in_callbacks_are_counted_and_logged(caplog: pytest.LogCaptureFixture) -> None:
+    metrics = RouterMetrics()
+
+    def fail() -> None:
+        raise ValueError("unforeseen")
+
+    async def scenario() -> None:
+        metrics.cuts.watch(asyncio.get_running_loop())
+        asyncio.get_running_loop().call_soon(fail)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+    asyncio.run(scenario())
+    assert "pebbledrift_callback_errors_total 1" in lines(metrics)
+    assert "unforeseen" in caplog.text
+
+
 def test_times_are_counted_up_to_each_limit_and_it() -> None:
     metrics = RouterMetrics()
     for seconds in (0.001, 0.005, 0.3, 99.0):
