--- a/tests/cluster/test_leaving.py
+++ b/tests/cluster/test_leaving.py
@@ -1,7 +1,7 @@
 """A router that leaves takes on nothing that it cannot finish.
 
 The incident: beside a change of the configuration a chat ended within its answer, 6.3 s after it was
-admitted. Days of planned work alone, with a log line for each answer that is cut, brought it about three
+admitted. Days of planned work alone, with a log line for each answer that is cut, brought it about four
 times: the router had got SIGTERM 1.1 to 1.9 s before it admitted the chat, and gives up what is open 7.3 s
 after it. All that came in the first 2.5 s was taken on, however long it would take. The SIGTERM did not stand
 in the record, as the keeper beside the router had ended and come back by then; the record's times fit it.
