--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -281,6 +281,15 @@
         except OSError:
             return False
 
+    def metrics(self, router: int) -> str:
+        """A router's figures."""
+        connection = http.client.HTTPConnection(self.routers[router], self.readiness, timeout=2)
+        try:
+            connection.request("GET", "/-/metrics")
+            return connection.getresponse().read().decode()
+        finally:
+            connection.close()
+
     def ready(self, router: int) -> bool:
         """Whether a router says that it is ready."""
         connection = http.client.HTTPConnection(self.routers[router], self.readiness, timeout=2)
--- a/tests/cluster/test_client_connections.py
+++ b/tests/cluster/test_client_connections.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import pytest
+
 from pebbledrift.bounds import Limits
 from pebbledrift.net.http import Message
 from pebbledrift.router.client import WAITING_MOST, ClientConnection
@@ -242,3 +244,55 @@
         await front.until(lambda: front.gone == 1)
 
     play(scenario)
+
+
+def test_a_request_s_time_counts_from_its_last_byte() -> None:
+    async def scenario(front: Front) -> None:
+        client = front.connect()
+        await asyncio.get_running_loop().sock_sendall(client, get("/1") + get("/2"))
+        await front.until(lambda: front.begun == ["/1"])
+        connection = front.connections[-1]
+        first = connection.arrived
+        await asyncio.sleep(0.05)
+        front.answer()
+        await front.until(lambda: front.begun == ["/1", "/2"])
+        assert connection.arrived - first < 0.04, "it counts from when it was begun"
+
+    play(scenario)
+
+
+def test_a_client_that_never_reads_its_last_answer_does_not_stay(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("pebbledrift.router.client.FLUSH_MOST_S", 0.1)
+
+    async def scenario(front: Front) -> None:
+        for last in (True, False):
+            client = front.connect()
+            more = "Connection: close\r\n" if last else ""
+            await asyncio.get_running_loop().sock_sendall(client, get("/1", more))
+            await front.until(lambda: len(front.table) == 1 and len(front.connections) > 0)
+            connection = front.connections.pop()
+            connection.answer(200, {}, BODY)
+            if not last:
+                connection.close()  # as a sweep does with one at rest
+            await front.until(lambda: not front.table)
+            client.close()
+
+    play(scenario)
+
+
+def test_what_comes_behind_a_fault_is_not_read_without_end() -> None:
+    async def scenario(front: Front) -> None:
+        loop = asyncio.get_running_loop()
+        client = front.connect()
+        await loop.sock_sendall(client, get("/1") + b"no request\r\n\r\n")
+        await front.until(lambda: front.begun == ["/1"])
+        connection = front.connections[-1]
+        sending = asyncio.create_task(loop.sock_sendall(client, b"x" * 64_000_000))
+        await front.until(lambda: connection.transport is not None and not connection.transport.is_reading())
+        assert connection.parser.held == 0 and not front.gone
+        front.answer()
+        got, _ = await read_all(client)
+        assert got.startswith(b"HTTP/1.1 200 ")
+        sending.cancel()
+
+    play(scenario)
--- a/tests/cluster/test_processes.py
+++ b/tests/cluster/test_processes.py
@@ -5,6 +5,7 @@
 import contextlib
 import http.client
 import signal
+import socket
 import threading
 import time
 from collections.abc import Iterator
@@ -12,7 +13,8 @@
 
 import pytest
 
-from rig.fleet import Fleet, Worker, example_config, wait_for
+from pebbledrift.router.run_times import SAMPLES_LEAST
+from rig.fleet import API_KEY, Fleet, Worker, example_config, wait_for
 
 pytestmark = pytest.mark.xdist_group("processes")
 
@@ -136,6 +138,9 @@
 
 
 def test_what_is_read_long_after_sigterm_is_refused_at_once(fleet: Fleet) -> None:
+    for _ in range(SAMPLES_LEAST):  # while leaving it goes by how long such requests take
+        assert fleet.request(0, "/plain/x")[0] == 200
+    fleet.workers[0].requests.clear()
     fleet.workers[0].event_pause_s = 1.2
 
     def ask() -> None:
@@ -157,9 +162,45 @@
     asking.join(10.0)
     status, headers = answers[-1]
     assert status == 503 and float(headers["retry-after"]) < 1 and headers["connection"] == "close"
+    assert len(answers) > 1, "short requests are taken on for a while"
     assert [status for status, _ in answers[:-1]] == [200] * (len(answers) - 1)
 
 
+def test_a_request_sent_in_advance_has_the_time_that_is_left_of_its_own(fleet: Fleet) -> None:
+    """A worker that is handed more goes on for a client that has given up."""
+    worker = fleet.workers[0]
+    worker.event_pause_s = 0.3
+    with socket.create_connection((fleet.routers[0], fleet.front), timeout=10) as client:
+        client.sendall(b"".join(_request(f"/stream/{number}", f"r-{number}") for number in range(2)))
+        wait_for(lambda: len(worker.requests) == 2, "both at the worker")
+    first, second = (int(headers["x-pebbledrift-deadline-ms"]) for _, headers, _ in worker.requests)
+    assert 2900 < first <= 3000 and second <= 3000 - 3 * 300
+
+
+def test_a_client_that_has_sent_much_in_advance_and_leaves_is_noticed(fleet: Fleet) -> None:
+    """Nothing more is read of it then, so that its end has to be looked for."""
+    worker = fleet.workers[0]
+    worker.event_pause_s = 5.0  # nothing is written to the client in between, which would show it too
+    client = socket.create_connection((fleet.routers[0], fleet.front), timeout=10)
+    client.sendall(b"".join(_request(f"/stream/{number}", f"r-{number}") for number in range(8)))
+    wait_for(lambda: len(worker.requests) == 1, "the first at the worker")
+    client.close()
+    wait_for(lambda: 'cause="client"} 1' in fleet.metrics(0) or _clients(fleet) == 0, "its end noticed", 2.0)
+    assert len(worker.requests) == 1
+
+
+def _request(path: str, name: str) -> bytes:
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: estate.example\r\nAuthorization: Token {API_KEY}\r\n"
+        f"X-Pebbledrift-Request-Id: {name}\r\nX-Pebbledrift-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
+def _clients(fleet: Fleet) -> int:
+    lines = fleet.metrics(0).splitlines()
+    return int(next(line.split()[1] for line in lines if line.startswith("pebbledrift_client_connections ")))
+
+
 def test_a_client_that_leaves_takes_its_request_from_the_worker(fleet: Fleet) -> None:
     worker = fleet.workers[0]
     worker.event_pause_s = 0.2
--- a/tests/cluster/test_signals.py
+++ b/tests/cluster/test_signals.py
@@ -57,3 +57,19 @@
         assert process.poll() is None, f"the process ended with {process.returncode}"
     finally:
         fleet.close()
+
+
+@pytest.mark.xdist_group("processes")
+def test_sighup_has_a_router_read_its_settings_again(tmp_path: Path) -> None:
+    fleet = Fleet(1, 1, tmp_path, first=240)
+    router = fleet.routers[0]
+    try:
+        fleet.start(router)
+        wait_for(lambda: listening(fleet, "router"), "router listening")
+        (tmp_path / f"{router}.json").write_text("no settings")
+        fleet.processes[router].send_signal(signal.SIGHUP)
+        log = tmp_path / f"{router}.log"
+        wait_for(lambda: 'event="settings not read again"' in log.read_text(), "the settings were read")
+        assert fleet.processes[router].poll() is None
+    finally:
+        fleet.close()
