--- a/review/fleet.py
+++ b/review/fleet.py
@@ -352,11 +352,19 @@
         return await call(address, method, path, headers, json.dumps(body).encode(), 1.0)
 
     async def replace(self, config: dict[str, Any], base: int) -> int:
-        """Send a whole configuration, again unchanged to the next keeper, until there is a clear answer."""
+        """Send a whole configuration; the status of the clear answer, or 0."""
+        return await self._order("/-/config/replace", config, base)
+
+    async def update(self, change: dict[str, Any], base: int) -> int:
+        """Send a change of named items; the status of the clear answer, or 0."""
+        return await self._order("/-/config/update", change, base)
+
+    async def _order(self, path: str, body: dict[str, Any], base: int) -> int:
+        """Send an order, again unchanged to the next keeper, until there is a clear answer."""
         end = time.monotonic() + START_S
         while time.monotonic() < end:
             for address in self.control_addresses():
-                answer = await self.control(address, "POST", "/-/config/replace", config, base)
+                answer = await self.control(address, "POST", path, body, base)
                 if answer is not None and answer.start[1] not in ("503", "408", "429"):
                     return int(answer.start[1])
             await asyncio.sleep(0.2)
