--- a/review/fleet.py
+++ b/review/fleet.py
@@ -159,10 +159,10 @@
         self._file = (folder / "record.txt").open("w", buffering=1)
         self._began = time.monotonic()
 
-    def note(self, event: str, **values: Any) -> None:
+    def note(self, what: str, /, **values: Any) -> None:
         """Write a line."""
         words = " ".join(f"{name}={value}" for name, value in values.items())
-        self._file.write(f"{time.monotonic() - self._began:8.3f} {event} {words}\n")
+        self._file.write(f"{time.monotonic() - self._began:8.3f} {what} {words}\n")
 
 
 Behaviour = Callable[["Worker", Message, asyncio.StreamWriter], Awaitable[bool]]
