Router: count and log attempts that end within an event of their stream

A client that got a stream with half an event before its first one left no trace at the router: nothing told whether the half event came from the buffer of the event splitter, from bytes left on the connection of the second attempt, or had been written to the client before the first one ended.

`attempt ended within an event` names request, attempt, worker, the bytes buffered and whether the head had been sent; pebbledrift_incomplete_events_total counts them.

--- a/pebbledrift/router/events.py
+++ b/pebbledrift/router/events.py
@@ -63,6 +63,11 @@
         """Whether an incomplete event is buffered."""
         return bool(self._incomplete)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The size of the incomplete event that is buffered."""
+        return len(self._incomplete)
+
     def resume(self) -> None:
         """Prepares for a new attempt that continues the stream behind the last complete event."""
         self._incomplete = b""
--- a/pebbledrift/router/exposition.py
+++ b/pebbledrift/router/exposition.py
@@ -24,7 +24,14 @@
 
 def exposition(metrics: RouterMetrics, gauges: RouterGauges) -> str:
     """Returns all metrics as text."""
-    return render([*_gauges(gauges), *_counters(metrics), *_cuts(metrics.cuts), *_histograms(metrics)])
+    families = [
+        *_gauges(gauges),
+        *_counters(metrics),
+        *_cuts(metrics.cuts),
+        _incomplete_events(metrics),
+        *_histograms(metrics),
+    ]
+    return render(families)
 
 
 def _gauges(values: RouterGauges) -> list[Family]:
@@ -59,6 +66,15 @@
     yield Family("pebbledrift_callback_errors_total", "counter", "Exceptions in callbacks.", errors)
 
 
+def _incomplete_events(metrics: RouterMetrics) -> Family:
+    return Family(
+        "pebbledrift_incomplete_events_total",
+        "counter",
+        "Attempts that ended within an event of their stream.",
+        (Sample(metrics.incomplete_events, {}),),
+    )
+
+
 def _histograms(metrics: RouterMetrics) -> Iterator[Family]:
     histograms: tuple[tuple[str, str, Callable[[RouteMetrics], Histogram]], ...] = (
         ("pebbledrift_wait_seconds", "From a request's last byte to its first send.", lambda m: m.waits),
--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -350,6 +350,8 @@
                 attempt.number, attempt.instance, OutcomeKind.CANCELLED, attempt.elapsed_ms, True
             )
             return
+        if self._splitter.partial:
+            self._record_incomplete_event(attempt)
         if self._head_sent:
             self._splitter.resume()
         must_not_repeat = ran and not self.admitted.route.idempotent
@@ -358,6 +360,21 @@
             self._cut_cause = CutCause.NOT_REPEATABLE
             self.fail()
 
+    def _record_incomplete_event(self, attempt: Attempt) -> None:
+        """Counts and logs an attempt that ended within an event, and how much of it is buffered."""
+        self._metrics.incomplete_events += 1
+        log.info(
+            "attempt ended within an event",
+            extra={
+                "request": self.admitted.message.headers.get(header_names.REQUEST_ID, ""),
+                "attempt": attempt.number,
+                "instance": attempt.instance.id,
+                "buffered_bytes": self._splitter.buffered_bytes,
+                "head_sent": self._head_sent,
+                "attempt_end": attempt.end_reason,
+            },
+        )
+
     def attempt_cancelled(self, attempt: Attempt) -> None:
         """Handles the end of an attempt that this router cancelled."""
         if self._attempt is attempt:
--- a/pebbledrift/router/metrics.py
+++ b/pebbledrift/router/metrics.py
@@ -60,6 +60,7 @@
         self.routes: dict[str, RouteMetrics] = {}
         self.tenants: dict[str, dict[Outcome, int]] = {}
         self.cuts = CutCounts()
+        self.incomplete_events = 0  # attempts that ended within an event of their stream
 
     def retain(self, routes: Iterable[str], tenants: Iterable[str]) -> None:
         """Drop the metrics of all routes and tenants that a new configuration does not name."""
--- a/tests/cluster/test_metrics.py
+++ b/tests/cluster/test_metrics.py
@@ -36,9 +36,11 @@
 ) -> None:
     metrics = RouterMetrics()
     metrics.cuts.record(CutCause.TIME_LIMIT, request="r-1", left_s=0.02)
+    metrics.incomplete_events += 1
     output = exposition_lines(metrics)
     assert 'pebbledrift_cut_answers_total{cause="time_limit"} 1' in output
     assert 'pebbledrift_cut_answers_total{cause="shutdown"} 0' in output
+    assert "pebbledrift_incomplete_events_total 1" in output
     record = vars(caplog.records[-1])
     assert record["msg"] == "answer cut" and record["cause"] == "time_limit" and record["request"] == "r-1"
 
