Router: an attempt keeps what it received; half an event is never joined with the next attempt

Cause: the buffer for an incomplete event belonged to the request and outlived its attempts. It was emptied only where an attempt failed after the client had been sent the head. It stayed where the attempt failed before its first whole event (the case), and, on a related path, wherever the placement cancelled an attempt, at any event: there the events repeated by the next worker were not dropped either.

Why this works: the splitter belongs to the attempt now, and the request keeps only the id of the last event that it forwarded. No path from one attempt to the next can carry bytes along, however the first one ends.

The splitter's own test makes a second splitter where it called `resume`.

--- a/pebbledrift/router/attempt.py
+++ b/pebbledrift/router/attempt.py
@@ -10,6 +10,7 @@
 from pebbledrift.net.http import Message
 from pebbledrift.router import request as header_names
 from pebbledrift.router.admitted import Admitted
+from pebbledrift.router.events import EventSplitter
 from pebbledrift.router.upstream import Exchange, ExchangeFailure, WorkerConnectionPool
 from spoolpier.interface import OutcomeKind
 
@@ -50,10 +51,17 @@
 
 
 class Attempt:
-    """One send of a request to one worker."""
+    """One send of a request to one worker.
 
-    def __init__(self, owner: AttemptOwner, number: int, instance: Instance) -> None:
+    Everything that arrives of the worker's response is kept here and ends with the attempt. `resume_after` is
+    the id of the last event that the client has received from an earlier attempt.
+    """
+
+    def __init__(
+        self, owner: AttemptOwner, number: int, instance: Instance, resume_after: bytes | None
+    ) -> None:
         self.owner, self.number, self.instance = owner, number, instance
+        self.events = EventSplitter(resume_after)
         self.response: Message | None = None
         self.started = False
         self.written = False
--- a/pebbledrift/router/events.py
+++ b/pebbledrift/router/events.py
@@ -14,12 +14,19 @@
 
 
 class EventSplitter:
-    """Splits a stream at event boundaries and buffers an incomplete event."""
+    """Splits the stream of one attempt at event boundaries and buffers an incomplete event.
 
-    def __init__(self) -> None:
+    Every attempt has its own splitter, so that an incomplete event is never joined with bytes of another
+    attempt. `resume_after` is the id of the last event that the client received from an earlier attempt;
+    events up to it are dropped.
+    """
+
+    def __init__(self, resume_after: bytes | None = None) -> None:
+        self.last_id = resume_after
         self._incomplete = b""
-        self.last_id: bytes | None = None
         self._skip_through_id: int | None = None
+        if resume_after is not None and resume_after.isdigit():
+            self._skip_through_id = int(resume_after)
 
     def feed(self, data: bytes) -> bytes:
         """Returns the events that `data` completes; raises EventTooLong if an event is too long."""
@@ -67,9 +74,3 @@
     def buffered_bytes(self) -> int:
         """The size of the incomplete event that is buffered."""
         return len(self._incomplete)
-
-    def resume(self) -> None:
-        """Prepares for a new attempt that continues the stream behind the last complete event."""
-        self._incomplete = b""
-        if self.last_id is not None and self.last_id.isdigit():
-            self._skip_through_id = int(self.last_id)
--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -17,7 +17,7 @@
 from pebbledrift.router.admitted import Admitted
 from pebbledrift.router.attempt import Attempt
 from pebbledrift.router.cuts import CutCause
-from pebbledrift.router.events import EventSplitter, EventTooLong
+from pebbledrift.router.events import EventTooLong
 from pebbledrift.router.metrics import NO_TENANT, Histogram, Outcome, RouterMetrics
 from pebbledrift.router.pools import WorkerPools
 from pebbledrift.router.retries import RetryBudget
@@ -86,7 +86,7 @@
         self._head_sent = False
         self._cut_cause = CutCause.NO_ATTEMPT
         self._last_attempt: Attempt | None = None
-        self._splitter = EventSplitter()
+        self._last_event_id: bytes | None = None  # of the last event that was forwarded
         # a worker's error response, sent to the client if no other attempt succeeds
         self._error_response: tuple[int, Mapping[str, str], bytes] | None = None
         # when the request arrived, was first sent, or a part of the response was last forwarded
@@ -115,7 +115,7 @@
             return
         if attempt == 0:
             self._record_interval(self._route_metrics.waits)
-        self._attempt = self._last_attempt = Attempt(self, attempt, instance)
+        self._attempt = self._last_attempt = Attempt(self, attempt, instance, self._last_event_id)
         self._attempt.begin(self._connection_pool)
 
     def _record_interval(self, histogram: Histogram) -> None:
@@ -260,8 +260,8 @@
         if admitted.tenant is not None:
             headers[header_names.TENANT] = admitted.tenant.name
         headers["priority"] = str(self._priority())
-        if self._head_sent and self._splitter.last_id is not None:
-            headers[header_names.LAST_EVENT_ID] = self._splitter.last_id.decode("latin-1")
+        if self._last_event_id is not None:
+            headers[header_names.LAST_EVENT_ID] = self._last_event_id.decode("latin-1")
         return request(message.first, message.second, headers, bytes(message.body))
 
     def _priority(self) -> int:
@@ -281,11 +281,12 @@
     def forward_events(self, attempt: Attempt, data: bytes) -> None:
         """Forwards complete events to the client."""
         try:
-            events = self._splitter.feed(data)
+            events = attempt.events.feed(data)
         except EventTooLong:
             attempt.abort_as_broken("event exceeds the size limit")
             return
         if events:
+            self._last_event_id = attempt.events.last_id
             if not attempt.started:
                 attempt.started = True
                 self.attempt_started(attempt)
@@ -306,7 +307,7 @@
 
     def stream_complete(self, attempt: Attempt) -> None:
         """Handles the end of a stream; one that ends in the middle of an event is broken."""
-        if self._splitter.partial:
+        if attempt.events.partial:
             attempt.end_reason = "stream ended in the middle of an event"
             self.attempt_failed(attempt, OutcomeKind.BROKEN)
             return
@@ -350,10 +351,8 @@
                 attempt.number, attempt.instance, OutcomeKind.CANCELLED, attempt.elapsed_ms, True
             )
             return
-        if self._splitter.partial:
+        if attempt.events.partial:
             self._record_incomplete_event(attempt)
-        if self._head_sent:
-            self._splitter.resume()
         must_not_repeat = ran and not self.admitted.route.idempotent
         self._report_outcome(attempt.number, attempt.instance, kind, attempt.elapsed_ms, done=must_not_repeat)
         if must_not_repeat:
@@ -369,7 +368,7 @@
                 "request": self.admitted.message.headers.get(header_names.REQUEST_ID, ""),
                 "attempt": attempt.number,
                 "instance": attempt.instance.id,
-                "buffered_bytes": self._splitter.buffered_bytes,
+                "buffered_bytes": attempt.events.buffered_bytes,
                 "head_sent": self._head_sent,
                 "attempt_end": attempt.end_reason,
             },
@@ -379,6 +378,8 @@
         """Handles the end of an attempt that this router cancelled."""
         if self._attempt is attempt:
             self._attempt = None
+        if attempt.events.partial and not self._finished:
+            self._record_incomplete_event(attempt)
         self._report_outcome(
             attempt.number, attempt.instance, OutcomeKind.CANCELLED, attempt.elapsed_ms, self._finished
         )
--- a/tests/cluster/test_router_parts.py
+++ b/tests/cluster/test_router_parts.py
@@ -84,7 +84,7 @@
     cutter = EventSplitter()
     assert cutter.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
     assert cutter.partial and cutter.last_id == b"1"
-    cutter.resume()
+    cutter = EventSplitter(resume_after=cutter.last_id)
     assert not cutter.partial
     assert cutter.feed(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
     assert cutter.feed(b"versions: 2\r\nid: 3\r\ndata: c\r\n\r\n").endswith(b"\r\n\r\n")
--- a/tests/cluster/test_worker_answers.py
+++ b/tests/cluster/test_worker_answers.py
@@ -263,7 +263,7 @@
     body = {"backend": "s", "address": f"{address[0]}:{address[1]}", "state": "ready"}
     result = RequestResult(name)
     owner = Owner(result, admitted(name), b"x" * size)
-    attempt = Attempt(cast(Any, owner), 0, parse_heartbeat("i-1", body))
+    attempt = Attempt(cast(Any, owner), 0, parse_heartbeat("i-1", body), None)
     attempt.begin(pool)
     try:
         async with asyncio.timeout(timeout_s):
