Router: a stream whose last forwarded event has no id is cut, not run again

What callers would see: on a resumable route, a stream whose events carry no id (or the last one forwarded carries none) that breaks is sent to another worker without Last-Event-Id, or with an older one, and the client gets events a second time in one stream that ends as complete.

Why this works: the splitter knows whether the last event that carries data had an id. Where it had none no other attempt follows, whether the first one broke or was cancelled by the placement, and the answer ends visibly incomplete (cause not_repeatable). Comments and other fields without data do not count.

Ids of more than 18 digits are compared with no other: int() raises on more than 4,300, which ended the next attempt in an exception.

--- a/pebbledrift/router/events.py
+++ b/pebbledrift/router/events.py
@@ -6,6 +6,8 @@
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+_EVENT_DATA = re.compile(rb"^data", re.MULTILINE)
+_NUMBER = re.compile(rb"[0-9]{1,18}\Z")  # ids beyond 18 digits are compared with no other
 MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -23,47 +25,38 @@
 
     def __init__(self, resume_after: bytes | None = None) -> None:
         self.last_id = resume_after
+        self.resumable = True  # whether another attempt can continue right behind the last event
         self._incomplete = b""
         self._skip_through_id: int | None = None
-        if resume_after is not None and resume_after.isdigit():
+        if resume_after is not None and _NUMBER.match(resume_after):
             self._skip_through_id = int(resume_after)
 
     def feed(self, data: bytes) -> bytes:
         """Returns the events that `data` completes; raises EventTooLong if an event is too long."""
         text = self._incomplete + data
-        end = 0
-        for boundary in _EVENT_END.finditer(text):
-            end = boundary.end()
-        if not end:
-            if len(text) > MAX_EVENT_BYTES:
-                raise EventTooLong(f"event exceeds {MAX_EVENT_BYTES} bytes")
-            self._incomplete = text
-            return b""
-        events, self._incomplete = text[:end], text[end:]
-        return self._process_events(events)
-
-    def _process_events(self, events: bytes) -> bytes:
-        """Tracks event ids, and drops events that the client has received from an earlier attempt."""
-        if self._skip_through_id is not None:
-            events = self._without_duplicates(events)
-        ids = _EVENT_ID.findall(events)
-        if ids:
-            self.last_id = ids[-1]
-        return events
-
-    def _without_duplicates(self, events: bytes) -> bytes:
-        kept = []
+        events = []
         start = 0
-        for boundary in _EVENT_END.finditer(events):
-            event = events[start : boundary.end()]
+        for boundary in _EVENT_END.finditer(text):
+            events.append(text[start : boundary.end()])
             start = boundary.end()
-            event_id = _EVENT_ID.search(event)
-            if event_id and event_id[1].isdigit() and self._skip_through_id is not None:
-                if int(event_id[1]) <= self._skip_through_id:
-                    continue
-                self._skip_through_id = None
-            kept.append(event)
-        return b"".join(kept)
+        if len(text) - start > MAX_EVENT_BYTES:
+            raise EventTooLong(f"event exceeds {MAX_EVENT_BYTES} bytes")
+        self._incomplete = text[start:]
+        return b"".join([event for event in events if self._accept(event)])
+
+    def _accept(self, event: bytes) -> bool:
+        """Tracks the position in the stream; False if the client has received the event already."""
+        match = _EVENT_ID.search(event)
+        event_id = match[1] if match else b""
+        if self._skip_through_id is not None and _NUMBER.match(event_id):
+            if int(event_id) <= self._skip_through_id:
+                return False
+            self._skip_through_id = None
+        if event_id:
+            self.last_id, self.resumable = event_id, True
+        elif _EVENT_DATA.search(event):
+            self.resumable = False
+        return True
 
     @property
     def partial(self) -> bool:
--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -87,6 +87,7 @@
         self._cut_cause = CutCause.NO_ATTEMPT
         self._last_attempt: Attempt | None = None
         self._last_event_id: bytes | None = None  # of the last event that was forwarded
+        self._resumable = True  # whether another attempt can continue behind what was forwarded
         # a worker's error response, sent to the client if no other attempt succeeds
         self._error_response: tuple[int, Mapping[str, str], bytes] | None = None
         # when the request arrived, was first sent, or a part of the response was last forwarded
@@ -125,9 +126,23 @@
         self._last_progress_at = now
 
     def cancel(self, attempt: int) -> None:
-        """Cancels an attempt."""
-        if self._attempt is not None and self._attempt.number == attempt:
-            self._attempt.cancel()
+        """Cancels an attempt, and fails the request if no other attempt may follow."""
+        cancelled = self._attempt
+        if cancelled is None or cancelled.number != attempt:
+            return
+        cancelled.cancel()
+        self._may_have_run = self._may_have_run or cancelled.written
+        if cancelled.written and not self._repeatable:
+            self._fail_unrepeatable()
+
+    @property
+    def _repeatable(self) -> bool:
+        """Whether another attempt may follow one that may have run."""
+        return self.admitted.route.idempotent and self._resumable
+
+    def _fail_unrepeatable(self) -> None:
+        self._cut_cause = CutCause.NOT_REPEATABLE
+        self.fail()
 
     def refuse(self, retry_after_ms: float) -> None:
         """Responds that the request was not run and may be sent again after `retry_after_ms`."""
@@ -286,7 +301,7 @@
             attempt.abort_as_broken("event exceeds the size limit")
             return
         if events:
-            self._last_event_id = attempt.events.last_id
+            self._last_event_id, self._resumable = attempt.events.last_id, attempt.events.resumable
             if not attempt.started:
                 attempt.started = True
                 self.attempt_started(attempt)
@@ -353,11 +368,10 @@
             return
         if attempt.events.partial:
             self._record_incomplete_event(attempt)
-        must_not_repeat = ran and not self.admitted.route.idempotent
+        must_not_repeat = ran and not self._repeatable
         self._report_outcome(attempt.number, attempt.instance, kind, attempt.elapsed_ms, done=must_not_repeat)
         if must_not_repeat:
-            self._cut_cause = CutCause.NOT_REPEATABLE
-            self.fail()
+            self._fail_unrepeatable()
 
     def _record_incomplete_event(self, attempt: Attempt) -> None:
         """Counts and logs an attempt that ended within an event, and how much of it is buffered."""
@@ -380,8 +394,9 @@
             self._attempt = None
         if attempt.events.partial and not self._finished:
             self._record_incomplete_event(attempt)
+        done = self._finished or (attempt.written and not self._repeatable)
         self._report_outcome(
-            attempt.number, attempt.instance, OutcomeKind.CANCELLED, attempt.elapsed_ms, self._finished
+            attempt.number, attempt.instance, OutcomeKind.CANCELLED, attempt.elapsed_ms, done
         )
 
     def instance_mismatch(self, instance: Instance) -> None:
--- a/tests/cluster/test_resumed_streams.py
+++ b/tests/cluster/test_resumed_streams.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from pebbledrift.router.cuts import CutCause
+from pebbledrift.router.events import EventSplitter
 from tests.cluster.flow_harness import (
     Exchanged,
     FlowHarness,
@@ -94,3 +96,38 @@
             await _play_stream(harness, offset, end, restarts)
 
         run_flows(scenario)
+
+
+@pytest.mark.parametrize("end", [End.CLOSED, End.CANCELLED])
+def test_a_stream_whose_last_event_has_no_id_is_not_continued(end: End) -> None:
+    # guards against the next attempt repeating an event that no worker can be told to skip
+    async def scenario(harness: FlowHarness) -> None:
+        exchanged = await harness.request("r-1", route_of_kind("streaming"))
+        worker = harness.worker
+        worker.send(head("r-1") + chunk(EVENTS[0] + b"data: without an id\n\n"))
+        await settle()
+        await _end_attempt(exchanged, worker, end)
+        assert not exchanged.client.alive and not exchanged.client.complete
+        assert exchanged.decisions.done
+        assert harness.metrics.cuts.by_cause[CutCause.NOT_REPEATABLE] == 1
+
+    run_flows(scenario)
+
+
+def test_a_comment_without_an_id_does_not_prevent_that_a_stream_is_continued() -> None:
+    async def scenario(harness: FlowHarness) -> None:
+        exchanged = await harness.request("r-1", route_of_kind("streaming"))
+        harness.worker.send(head("r-1") + chunk(EVENTS[0] + b": nothing yet\n\n"))
+        await settle()
+        harness.worker.close()
+        await settle()
+        assert exchanged.client.alive and not exchanged.decisions.done
+
+    run_flows(scenario)
+
+
+def test_an_id_of_thousands_of_digits_does_not_end_in_an_exception() -> None:
+    # guards against int() refusing more than 4,300 digits in the middle of the next attempt
+    splitter = EventSplitter(resume_after=b"9" * 5000)
+    event = b"id: " + b"8" * 5000 + b"\ndata: x\n\n"
+    assert splitter.feed(event) == event
