Connections: asking whether the peer is there no longer raises where input is unread

A request whose resting worker connection held unread bytes ended in the same exception, and was answered 503 unsent.

Cause: `peer_has_closed` peeked at unread input with `recv`, which the socket object of asyncio's transports does not have. The raw socket that the node's own connections pass has it, so that only the fleet's roles were hit.

Why this works: POLLRDHUP, POLLHUP and POLLERR tell an end and a reset also behind unread bytes, so the peek told nothing more. Only the poll is left.

Evidence: the test fails before with AttributeError: 'TransportSocket' object has no attribute 'recv', and passes now.

--- a/pebbledrift/net/presence.py
+++ b/pebbledrift/net/presence.py
@@ -3,31 +3,37 @@
 from __future__ import annotations
 
 import select
-import socket
+from typing import Protocol
 
-_WATCHED = select.POLLIN | select.POLLRDHUP
 _ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
-def peer_has_closed(connection: socket.socket) -> bool:
+class Descriptor(Protocol):
+    """A socket, or what asyncio's transports give out for theirs, which cannot be read from."""
+
+    def fileno(self) -> int:
+        """The file descriptor, or -1 once the socket is closed."""
+
+
+def peer_has_closed(connection: Descriptor) -> bool:
     """Whether the peer has closed or reset, also where the news stand behind bytes that nobody has read."""
+    return bool(_poll(connection, select.POLLRDHUP) & _ENDED)
+
+
+def has_unread_input(connection: Descriptor) -> bool:
+    """Whether bytes that nobody has read wait in the kernel, or the peer has closed or reset."""
+    return bool(_poll(connection, select.POLLIN | select.POLLRDHUP))
+
+
+def _poll(connection: Descriptor, watched: int) -> int:
+    """The events that are set now; none if they cannot be known."""
     descriptor = connection.fileno()
     if descriptor < 0:
-        return True
+        return select.POLLNVAL
     poll = select.poll()
-    poll.register(descriptor, _WATCHED)
+    poll.register(descriptor, watched)
     try:
         found = poll.poll(0)
     except OSError:
-        return False  # not known: the loop will hear of it
-    if not found:
-        return False
-    events = found[0][1]
-    if events & _ENDED:
-        return True
-    try:
-        return connection.recv(1, socket.MSG_PEEK) == b""
-    except (BlockingIOError, InterruptedError):
-        return False
-    except OSError:
-        return True
+        return 0  # the event loop will notice
+    return found[0][1] if found else 0
--- a/tests/cluster/test_client_connections.py
+++ b/tests/cluster/test_client_connections.py
@@ -258,6 +258,30 @@
     run_scenario(scenario)
 
 
+def test_a_client_with_unread_input_and_paused_reading_does_not_end_the_sweep() -> None:
+    # guards against reading from an asyncio socket object, which has no `recv`: the exception ended the sweep
+    async def scenario(front: Front) -> None:
+        client = front.connect()
+        for number in range(MAX_PIPELINED_REQUESTS + 1):
+            await asyncio.get_running_loop().sock_sendall(client, get(f"/{number}"))
+        await front.until(lambda: front.started == ["/0"])
+        connection = front.connections[-1]
+        await front.until(lambda: len(connection._pipelined) >= MAX_PIPELINED_REQUESTS)
+        await asyncio.get_running_loop().sock_sendall(client, get("/unread"))
+        connection.check_peer_closed()
+        await asyncio.sleep(0)
+        assert connection.alive and not front.gone_count
+        client.close()
+
+        def is_noticed() -> bool:
+            connection.check_peer_closed()
+            return front.gone_count == 1
+
+        await front.until(is_noticed)
+
+    run_scenario(scenario)
+
+
 def test_the_time_of_a_request_counts_from_its_last_byte() -> None:
     async def scenario(front: Front) -> None:
         client = front.connect()
