test_write_checks: wait until the late worker has counted its connection

The node answers as soon as the kernel has brought the connection up; the worker's thread counts it when it accepts it, which may be later. With 0.3 s between its accept and its count the test failed at once. It waits for the count now, as the three tests beside it do, and then asserts that nothing was written: with the same 0.3 s it passes. Not a fault of the node.

--- a/tests/test_write_checks.py
+++ b/tests/test_write_checks.py
@@ -103,7 +103,8 @@
         threading.Event().wait(max(0.0, over - time.monotonic()))
         worker.open()
         self.assertIn(answer.get()[0], (502, 503))  # of a group of all either is true (WIRE, rule 2)
-        self.assertEqual((worker.opened, worker.jobs()), (1, []))
+        eventually(lambda: worker.opened == 1)  # the connection was up, and nothing was written on it
+        self.assertEqual(worker.jobs(), [])
 
     def test_a_client_that_leaves_behind_requests_that_nobody_has_read_gets_no_further_attempt(self) -> None:
         held = Worker("s-1", keep)
