Router: bytes that belong to no request never become part of a response

Cause: what a worker sends was attributed by its place on the connection. Bytes short of a head stayed in the parser of a resting connection, which was used again; the next response was read as the rest of their head, with their status and their X-Pebbledrift-Not-Executed. The same splice was possible once the next request was written, and with bytes unread in the kernel; and a late copy of the first attempt's refusal could be taken for the answer to a second attempt on the same connection.

Why this works: any byte on a resting connection ends it, and one with unread bytes is not used. A status line within a head shows where the response begins: on a connection that has served a request what stands before it is dropped, on a new one it is malformed. A second attempt takes another connection.

--- a/pebbledrift/net/http.py
+++ b/pebbledrift/net/http.py
@@ -13,6 +13,7 @@
 TARGET = re.compile(r"[!-~]+\Z")
 CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 DIGITS = re.compile(r"[0-9]{1,15}\Z")
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
 CHUNK = re.compile(rb"([0-9A-Fa-f]{1,8})(?:;[\t -~]*)?\Z")  # extensions are passed over, blanks are not
 REASONS = {
     200: "OK",
@@ -75,6 +76,9 @@
         self.mode = "head"  # head, body, chunk, data, end, trailer, close
         self.trailer = 0
         self.ended = False  # of a stream: the body is complete
+        self.skip_to_status_line = (
+            False  # of responses: bytes before the last status line of a head are dropped
+        )
 
     @property
     def inside(self) -> bool:
@@ -207,6 +211,8 @@
             if len(self.buffer) > self.limits.head_bytes:
                 raise HttpError(431, "head too large")
             return None
+        if not self.request:
+            end -= self._drop_foreign_bytes(end)
         lines = self.buffer[:end].decode("latin-1").split("\r\n")
         del self.buffer[: end + 4]
         first, second, version = self._start(lines[0])
@@ -231,6 +237,22 @@
         self.ended = self.mode == "head"  # there is no body
         return self.message
 
+    def _drop_foreign_bytes(self, end: int) -> int:
+        """Drops the bytes before the last status line of a head that ends at `end`; returns their number.
+
+        Such bytes are part of another response that its sender cut short. They must not be read as one head
+        with the response behind them, which would take over their status and their headers.
+        """
+        start = self.buffer.rfind(b"HTTP/1.", 0, end)
+        while start > 0 and not STATUS_LINE.match(self.buffer, start):
+            start = self.buffer.rfind(b"HTTP/1.", 0, start)
+        if start <= 0:
+            return 0
+        if not self.skip_to_status_line:
+            raise HttpError(502, "status line within a head")
+        del self.buffer[:start]
+        return start
+
     def _start(self, line: str) -> tuple[str, str, str]:
         parts = line.split(" ", 2)
         if self.request:
--- a/pebbledrift/router/attempt.py
+++ b/pebbledrift/router/attempt.py
@@ -11,7 +11,7 @@
 from pebbledrift.router import request as header_names
 from pebbledrift.router.admitted import Admitted
 from pebbledrift.router.events import EventSplitter
-from pebbledrift.router.upstream import Exchange, ExchangeFailure, WorkerConnectionPool
+from pebbledrift.router.upstream import Exchange, ExchangeFailure, WorkerConnection, WorkerConnectionPool
 from spoolpier.interface import OutcomeKind
 
 MAX_UNARY_RESPONSE_BYTES = 8 * 1024 * 1024  # limit for the body of a response that is not streamed
@@ -21,6 +21,7 @@
     """The request that an attempt sends."""
 
     admitted: Admitted
+    used_connections: list[WorkerConnection]  # on which attempts of the request were written
 
     def may_write(self, instance: Instance) -> bool:
         """Called right before the write; whether the request may still be sent."""
@@ -79,7 +80,9 @@
 
     def begin(self, pool: WorkerConnectionPool) -> None:
         """Sends the request."""
-        self.exchange = Exchange(pool, parse_address(self.instance.address, "address"), self)
+        self.exchange = Exchange(
+            pool, parse_address(self.instance.address, "address"), self, self.owner.used_connections
+        )
         self.exchange.begin()
 
     def cancel(self) -> None:
--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -22,7 +22,7 @@
 from pebbledrift.router.pools import WorkerPools
 from pebbledrift.router.retries import RetryBudget
 from pebbledrift.router.routes import MAX_PRIORITY
-from pebbledrift.router.upstream import WorkerConnectionPool
+from pebbledrift.router.upstream import WorkerConnection, WorkerConnectionPool
 from spoolpier.interface import OutcomeKind
 
 log = logging.getLogger(__name__)
@@ -80,6 +80,7 @@
         )
         self._placement = worker_pools.choose(admitted.prompt_tokens)
         self._loop = asyncio.get_running_loop()
+        self.used_connections: list[WorkerConnection] = []
         self._attempt: Attempt | None = None
         self._finished = False
         self._may_have_run = False
--- a/pebbledrift/router/upstream.py
+++ b/pebbledrift/router/upstream.py
@@ -1,17 +1,34 @@
-"""Persistent connections to workers, with one request at a time on each."""
+"""Persistent connections to workers, with one request at a time on each.
+
+What bytes from a worker mean, by the state of its connection:
+
+- Idle, in the pool: they belong to no request, and the connection is aborted. It is not used again while
+  bytes wait unread.
+- Request written, head awaited: the head that carries the request's id is its response. Interim responses
+  are skipped. Once the connection has served a request, a complete response with another id, or none, is
+  discarded, and so are bytes before the status line of a head. On a new connection they break the exchange.
+- Body of the response: they belong to it, as its framing says.
+- Body of a discarded response: discarded; the head is awaited behind it.
+- Response complete: bytes that were read together with its end close the connection; the response stands.
+- Cancelled or malformed: the connection is aborted, and nothing more is read.
+
+Only a response with the request's id states that the request was not executed. Everything else that ends an
+exchange after the request was written leaves open whether it ran.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import logging
 import re
+from collections.abc import Collection
 from enum import Enum, auto
 from typing import Protocol
 
 from pebbledrift.bounds import Limits
 from pebbledrift.cluster.boot import Address
 from pebbledrift.net.http import HttpError, HttpProtocol, Message
-from pebbledrift.net.presence import peer_has_closed
+from pebbledrift.net.presence import has_unread_input
 
 log = logging.getLogger(__name__)
 
@@ -83,6 +100,15 @@
         """
         self.idle_until = asyncio.get_running_loop().time() + self.idle_timeout_s
 
+    def feed(self, data: bytes) -> None:
+        """Parses received bytes, or aborts the connection if no request is open that they could belong to."""
+        if self.exchange is not None:
+            super().feed(data)
+            return
+        log.info("unsolicited bytes", extra={"worker": self.address[0], "bytes": len(data)})
+        self.end_reason = self.end_reason or "unsolicited bytes"
+        self.abort()
+
     def pause_writing(self) -> None:
         """Does not abort a worker that reads slowly: at most one request is buffered."""
 
@@ -94,7 +120,7 @@
             self._deliver(ended=True)  # the body before this head is complete
         exchange = self.exchange
         if exchange is None:
-            self.abort()  # unsolicited bytes: no request is open
+            self.abort()  # the response before this head, just delivered, ended the exchange
             return
         self._response = message
         timeout = _KEEP_ALIVE_TIMEOUT.search(message.headers.get("keep-alive", ""))
@@ -130,7 +156,7 @@
 
     def _finish_exchange(self, message: Message, exchange: Exchange) -> None:
         self.exchange = None
-        self._has_served = True
+        self._has_served = self.parser.skip_to_status_line = True
         if message.keep_alive and not self.parser.inside and self._all_written:
             self._restart_idle_period()
             self.pool.release(self)
@@ -177,10 +203,10 @@
 
     @property
     def usable(self) -> bool:
-        """Whether the connection is open and the kernel has not seen the worker close it."""
+        """Whether the connection is open, and the kernel has seen neither bytes nor a close by the worker."""
         if self.closed or self.transport is None or self.transport.is_closing():
             return False
-        return not peer_has_closed(self.transport.get_extra_info("socket"))
+        return not has_unread_input(self.transport.get_extra_info("socket"))
 
     def close(self) -> None:
         """Closes the connection once the write buffer is flushed; no more responses are expected."""
@@ -202,19 +228,30 @@
 
 
 class Exchange:
-    """One request to a worker and its response."""
-
-    def __init__(self, pool: WorkerConnectionPool, address: Address, listener: ExchangeListener) -> None:
+    """One request to a worker and its response.
+
+    `used_connections` are those on which earlier attempts of the request were written; a late copy of the
+    response to one of them could not be told from the response to this one. This exchange adds its own.
+    """
+
+    def __init__(
+        self,
+        pool: WorkerConnectionPool,
+        address: Address,
+        listener: ExchangeListener,
+        used_connections: list[WorkerConnection] | None = None,
+    ) -> None:
         self.listener = listener
         self.end_reason = ""  # why there was no complete response, if known
         self._pool, self._address = pool, address
+        self._used_connections = [] if used_connections is None else used_connections
         self._connection: WorkerConnection | None = None
         self._task: asyncio.Task[None] | None = None
         self._cancelled = False
 
     def begin(self) -> None:
         """Writes the request on an idle connection, or opens a new one."""
-        connection = self._pool.acquire(self._address)
+        connection = self._pool.acquire(self._address, self._used_connections)
         if connection is not None:
             self._write(connection)
             return
@@ -239,6 +276,7 @@
             return
         connection.exchange = self
         self._connection = connection
+        self._used_connections.append(connection)
         assert connection.transport is not None
         connection.transport.write(self.listener.request_bytes())
 
@@ -267,12 +305,20 @@
         self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self.opened_count = 0
 
-    def acquire(self, address: Address) -> WorkerConnection | None:
-        """Removes and returns the usable idle connection that was used most recently, if there is one."""
-        idle = self._idle.get(address)
+    def acquire(
+        self, address: Address, avoided: Collection[WorkerConnection] = ()
+    ) -> WorkerConnection | None:
+        """Removes and returns the usable idle connection that was used most recently, if there is one.
+
+        Connections in `avoided` stay in the pool.
+        """
+        idle = self._idle.get(address, [])
         now = self._loop.time()
-        while idle:
-            connection = idle.pop()
+        for index in range(len(idle) - 1, -1, -1):
+            connection = idle[index]
+            if connection in avoided:
+                continue
+            del idle[index]
             if now < connection.idle_until and connection.usable:
                 return connection
             connection.close()
--- a/tests/cluster/test_worker_answers.py
+++ b/tests/cluster/test_worker_answers.py
@@ -21,7 +21,7 @@
 from pebbledrift.router.admitted import Admitted
 from pebbledrift.router.attempt import Attempt
 from pebbledrift.router.routes import RoutingTable
-from pebbledrift.router.upstream import WorkerConnectionPool
+from pebbledrift.router.upstream import WorkerConnection, WorkerConnectionPool
 from rig.fleet import example_config
 from spoolpier.interface import OutcomeKind
 
@@ -48,6 +48,7 @@
     def __init__(self, result: RequestResult, admitted: Admitted, body: bytes) -> None:
         self.result, self.admitted, self._body = result, admitted, body
         self.ended = asyncio.Event()
+        self.used_connections: list[WorkerConnection] = []
 
     def may_write(self, instance: Instance) -> bool:
         return True
