Node: bytes on an idle connection to a worker end it

Any byte on an idle connection ends it now, and one that has bytes unread in the kernel is not used: one poll for each job on a kept connection.

--- a/pebbledrift/net/destinations.py
+++ b/pebbledrift/net/destinations.py
@@ -16,6 +16,7 @@
 from pebbledrift.core.engine import Engine
 from pebbledrift.core.model import Attempt
 from pebbledrift.net.http import HttpError, HttpProtocol, Message, request
+from pebbledrift.net.presence import has_unread_input
 from spoolpier import interface as api
 from spoolpier.settings import REPORT_NAMES
 
@@ -73,6 +74,22 @@
         if self.exchange is not None:
             self.exchange.left()
 
+    def feed(self, data: bytes) -> None:
+        """Parses received bytes, or aborts the connection if no request is open that they could belong to."""
+        if self.exchange is not None:
+            super().feed(data)
+            return
+        log.info("unsolicited bytes", extra={"bytes": len(data)})
+        self.abort()
+
+    @property
+    def usable(self) -> bool:
+        """Whether the connection is open, and neither bytes nor an end of it wait to be read."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return False
+        return not has_unread_input(transport.get_extra_info("socket"))
+
     def message_received(self, message: Message) -> None:
         if message.second.startswith("1"):
             return
@@ -349,10 +366,9 @@
         found: Connection | None = None
         while self.idle and found is None:
             connection, since = self.idle.pop()
-            transport = connection.transport
             if since > newest:
                 settling.append((connection, since))
-            elif since > oldest and transport is not None and not transport.is_closing():
+            elif since > oldest and connection.usable:
                 connection.idled = now - since
                 found = connection
             else:
