Keepers: a refusal that could turn is logged before it is answered

Cause: a refusal was remembered by the name of the call, at the head of one epoch. Another copy of the order is another call. Only one kind of refusal can turn: the base is above the version in place; a lower one never comes back.

The price, said in the answer: the same bytes sent anew on a base that has come meanwhile are refused too; another revision is accepted. Orders whose caller has disconnected before they are read are dropped besides.

--- a/pebbledrift/chain/messages.py
+++ b/pebbledrift/chain/messages.py
@@ -52,7 +52,7 @@
 
     stamp: tuple[int, int]
     config: bytes
-    accepted: list[tuple[bytes, int]]  # digests of accepted orders with their revisions, oldest first
+    accepted: list[tuple[bytes, int]]  # digests of accepted and refused orders (ConfigurationState.dump)
 
 
 @message(60)
--- a/pebbledrift/chain/requests.py
+++ b/pebbledrift/chain/requests.py
@@ -12,13 +12,19 @@
 from pebbledrift.chain.messages import Answer, Barrier, CallId, NotHead, Submit
 from pebbledrift.chain.outbox import Outbox
 from pebbledrift.chain.view import address_of
-from pebbledrift.control.orders import Check, ConfigurationState, Order, OrderResult, OrderStatus
+from pebbledrift.control.orders import (
+    Check,
+    ConfigurationState,
+    Order,
+    OrderResult,
+    OrderStatus,
+    refusal_of,
+)
 from spoolpier.records import record
 
 RESEND_AFTER_S = 0.4  # a call without an answer is submitted to the head again
 MAX_PENDING_CALLS = 256
 MAX_PENDING_BYTES = 32 * 1024 * 1024  # of the bodies of pending orders
-MAX_REFUSED_CALLS = 4096  # refused calls that the head of an epoch remembers
 ResultCallback = Callable[[OrderResult | None], None]
 
 
@@ -78,7 +84,6 @@
         self._pending: dict[CallId, PendingCall] = {}
         self._number = 0
         self._state: ConfigurationState | None = None  # includes uncommitted entries; at the head only
-        self._refused: dict[CallId, OrderResult] = {}  # of the current epoch; at the head only
         self.on_unconfirmed: Callable[[UnconfirmedCall], None] = _ignore
 
     # at the keeper where the call was made
@@ -178,9 +183,8 @@
     # at the head
 
     def enter_view(self) -> None:
-        """Discard the results of the previous view, except what is in the log, and resend the calls."""
+        """Discard the state of the previous view, except what is in the log, and resend the calls."""
         self._state = None
-        self._refused.clear()
         for call in self._pending.values():
             call.send_at = min(call.send_at, self.outbox.now)
 
@@ -194,11 +198,11 @@
         if message.order is None:
             self.link.start_barrier(message.call, None)
             return
-        result = self._refused.get(message.call) or self._evaluate(message.order)
+        result = self._evaluate(message.order)
         if result.status == OrderStatus.ACCEPTED:
             self.link.append(message.order)
             return
-        self._remember_refusal(message.call, result)
+        self._record_refusal(message.order)
         self.link.start_barrier(message.call, result)
 
     def _evaluate(self, order: Order) -> OrderResult:
@@ -206,13 +210,16 @@
             self._state = self.log.speculative(self._check)
         return self._state.apply(order)
 
-    def _remember_refusal(self, call: CallId, result: OrderResult) -> None:
-        """Remember a refused call, so that a delayed copy of it is refused whatever the state is by then."""
-        if result.status == OrderStatus.ALREADY_ACCEPTED:
-            return
-        self._refused[call] = result
-        while len(self._refused) > MAX_REFUSED_CALLS:
-            del self._refused[next(iter(self._refused))]
+    def _record_refusal(self, order: Order) -> None:
+        """Log the refusal of an order that could be accepted later, before the refusal is answered.
+
+        Other copies of the order may wait at any keeper, in a queue or in a socket. The record makes all of
+        them refused, in later epochs and after restarts too.
+        """
+        if self._state is not None and self._state.must_record_refusal(order):
+            refusal = refusal_of(order)
+            self._state.apply(refusal)
+            self.link.append(refusal)
 
     # at the tail
 
--- a/pebbledrift/control/orders.py
+++ b/pebbledrift/control/orders.py
@@ -17,7 +17,11 @@
 
 DIGEST_BYTES = 16
 MAX_ACCEPTED_DIGESTS = 8192  # digests kept to recognize a resent order; a day has hundreds of orders
+MAX_REFUSED_DIGESTS = 1024  # digests kept of refused orders whose base might still come into force
 MAX_CONFIG_BYTES = 8 * 1024 * 1024  # of a configuration in compact JSON; messages have room for one
+ALREADY_REFUSED = (
+    "this order was refused before its base was in place, which is final; send the change as another revision"
+)
 Check = Callable[[object], None]  # raises InvalidConfiguration for a configuration that cannot be used
 Config = dict[str, Any]
 
@@ -27,6 +31,7 @@
 
     REPLACE = 0  # a complete configuration
     UPDATE = 1  # items to add, replace or remove
+    REFUSAL = 2  # in the log only: the digest of an order that was refused, and must stay refused
 
 
 class OrderStatus(IntEnum):
@@ -53,6 +58,11 @@
         return hashlib.blake2b(head + self.body, digest_size=DIGEST_BYTES).digest()
 
 
+def refusal_of(order: Order) -> Order:
+    """Return the log record that an order was refused."""
+    return Order(OrderKind.REFUSAL, order.base, order.digest)
+
+
 @message(21)
 class OrderResult:
     """The status of an evaluated order (an OrderStatus), with the reason if it was refused."""
@@ -120,15 +130,18 @@
 
 
 class ConfigurationState:
-    """The configuration in force and the digests of recently accepted orders.
+    """The configuration in force, the digests of recently accepted orders, and of refused ones.
 
-    Only `apply` and `restore` change it.
+    A refused order is recorded if the revision that it builds on might still come into force: another copy of
+    it could be accepted then. All other refused orders stay refused, since revisions only rise. Only `apply`
+    and `restore` change the state.
     """
 
     def __init__(self, check: Check) -> None:
         self._check = check
         self.config: Config | None = None
         self.accepted: dict[bytes, int] = {}  # digest of each accepted order to its revision, oldest first
+        self.refused: dict[bytes, int] = {}  # digest of each recorded refused order to its base, oldest first
 
     @property
     def revision(self) -> int:
@@ -142,6 +155,8 @@
         """
         if order.digest in self.accepted:
             return OrderResult(OrderStatus.ALREADY_ACCEPTED), None
+        if order.digest in self.refused:
+            return OrderResult(OrderStatus.CONFLICT, ALREADY_REFUSED), None
         if order.base != self.revision:
             return OrderResult(OrderStatus.CONFLICT, f"version {self.revision} is in place"), None
         try:
@@ -162,7 +177,15 @@
         return data
 
     def apply(self, order: Order) -> OrderResult:
-        """Evaluate an order and, if it is accepted, put its configuration into force."""
+        """Evaluate an order and, if it is accepted, put its configuration into force.
+
+        The record of a refusal is kept, and is itself never accepted.
+        """
+        if order.kind == OrderKind.REFUSAL:
+            self.refused[bytes(order.body)] = order.base
+            while len(self.refused) > MAX_REFUSED_DIGESTS:
+                del self.refused[next(iter(self.refused))]
+            return OrderResult(OrderStatus.CONFLICT)
         result, config = self.evaluate(order)
         if config is not None:
             self.config = config
@@ -171,18 +194,29 @@
                 del self.accepted[next(iter(self.accepted))]
         return result
 
+    def must_record_refusal(self, order: Order) -> bool:
+        """Whether an order that was refused now could be accepted later, and is not recorded yet."""
+        return order.base > self.revision and order.digest not in self.refused
+
     def copy(self, check: Check) -> ConfigurationState:
         """Return an independent copy with its own check; configurations are immutable, so they are shared."""
         other = ConfigurationState(check)
-        other.config, other.accepted = self.config, dict(self.accepted)
+        other.config = self.config
+        other.accepted, other.refused = dict(self.accepted), dict(self.refused)
         return other
 
     def dump(self) -> tuple[bytes, list[tuple[bytes, int]]]:
-        """Return the state for `restore`: the configuration in JSON (empty if none), the accepted digests."""
+        """Return the state for `restore`: the configuration in JSON (empty if none), and the digests.
+
+        Accepted orders come with their revision, refused ones with their base as a negative number, so that
+        the stored form stays the one of programs that record no refusals.
+        """
         config = b"" if self.config is None else json.dumps(self.config, separators=(",", ":")).encode()
-        return config, list(self.accepted.items())
+        refused = [(digest, -base) for digest, base in self.refused.items()]
+        return config, [*self.accepted.items(), *refused]
 
-    def restore(self, config: bytes, accepted: list[tuple[bytes, int]]) -> None:
+    def restore(self, config: bytes, digests: list[tuple[bytes, int]]) -> None:
         """Replace the state by one that `dump` returned."""
         self.config = json.loads(config) if config else None
-        self.accepted = {bytes(digest): revision for digest, revision in accepted}
+        self.accepted = {bytes(digest): revision for digest, revision in digests if revision >= 0}
+        self.refused = {bytes(digest): -base for digest, base in digests if base < 0}
--- a/pebbledrift/keeper/control_server.py
+++ b/pebbledrift/keeper/control_server.py
@@ -10,7 +10,7 @@
 from pebbledrift.chain.link import SLOWEST_LINK_BYTES_PER_S
 from pebbledrift.cluster.boot import Address
 from pebbledrift.control.orders import MAX_CONFIG_BYTES
-from pebbledrift.keeper.api import CallKind, ControlApi, call_of, error_reply
+from pebbledrift.keeper.api import ORDER_KINDS, CallKind, ControlApi, call_of, error_reply
 from pebbledrift.keeper.control_metrics import ControlMetrics
 from pebbledrift.net.http import Message
 from pebbledrift.net.request_connection import RequestConnection, RequestOwner
@@ -60,6 +60,11 @@
 
     def _begin_call(self, connection: RequestConnection, request: Message) -> RequestOwner | None:
         call = call_of(request.first, request.second)
+        if call.kind in ORDER_KINDS and connection.peer_has_left:
+            # the order may have waited in the socket of a suspended process, and been answered elsewhere
+            log.info("order dropped, its caller has left", extra={"path": call.path})
+            connection.abort()
+            return None
         if len(self._calls) >= MAX_CALLS:
             self._send(connection, call.kind, 503, *_error_response(503, "too many calls at once"))
             return None
@@ -90,7 +95,10 @@
 
 
 class _CallOwner:
-    """A call in progress. It is carried out to its end even if its caller leaves: the outcome may count."""
+    """A call in progress.
+
+    Once it has begun it is carried out to its end, even if its caller leaves: the outcome may count.
+    """
 
     def __init__(self, connection: RequestConnection) -> None:
         self.connection: RequestConnection | None = connection
--- a/pebbledrift/net/request_connection.py
+++ b/pebbledrift/net/request_connection.py
@@ -216,6 +216,14 @@
         """Whether the client is connected, as far as this process can tell."""
         return self.transport is not None and not self.transport.is_closing()
 
+    @property
+    def peer_has_left(self) -> bool:
+        """Whether the client has disconnected, also where that is not read yet."""
+        transport = self.transport
+        return (
+            transport is None or transport.is_closing() or peer_has_closed(transport.get_extra_info("socket"))
+        )
+
     def request_timed_out(self, now: float, timeout_s: float) -> bool:
         """Whether the request being received has been incomplete for more than `timeout_s` seconds."""
         incomplete = self.parser.inside and self._lingering_close is None
--- a/tests/cluster/test_control_server.py
+++ b/tests/cluster/test_control_server.py
@@ -283,6 +283,20 @@
     run(scenario)
 
 
+def test_an_order_whose_caller_left_before_it_was_read_is_dropped() -> None:
+    # guards against a keeper that stood still carrying out an old copy of an order answered elsewhere
+    async def scenario(interface: Interface) -> None:
+        with socket.create_connection(interface.address) as caller:  # the event loop does not run meanwhile
+            caller.sendall(order("{}").encode())
+        assert await interface.call(READ)  # on a connection that was accepted later
+        assert not interface.backend.orders
+        with socket.create_connection(interface.address) as caller:
+            caller.sendall(order("{}").encode())
+            await wait_until(lambda: len(interface.backend.orders) == 1)
+
+    run(scenario)
+
+
 def test_calls_in_progress_are_answered_when_the_interface_closes() -> None:
     async def scenario(interface: Interface) -> None:
         reader, _ = await interface.connect(order("{}"))
--- a/tests/cluster/test_orders.py
+++ b/tests/cluster/test_orders.py
@@ -10,12 +10,15 @@
 
 from pebbledrift.cluster.errors import InvalidConfiguration
 from pebbledrift.control.orders import (
+    ALREADY_REFUSED,
     MAX_CONFIG_BYTES,
+    MAX_REFUSED_DIGESTS,
     ConfigurationState,
     Order,
     OrderKind,
     OrderResult,
     OrderStatus,
+    refusal_of,
 )
 from pebbledrift.control.quota import (
     SLOT_S,
@@ -155,6 +158,30 @@
     assert state.apply(replace_order(CONFIG)).status == OrderStatus.ALREADY_ACCEPTED
 
 
+def test_a_recorded_refusal_is_final_and_is_restored() -> None:
+    early = update_order({"revision": 11, "delete": {"routes": ["r2"]}}, base=9)
+    state = initial_state()
+    assert state.apply(early).status == OrderStatus.CONFLICT and state.must_record_refusal(early)
+    state.apply(refusal_of(early))
+    assert not state.must_record_refusal(early)
+    assert not state.must_record_refusal(replace_order(altered(), base=3)), "revision 3 never comes back"
+    restored = ConfigurationState(check)
+    restored.restore(*state.dump())
+    for candidate in (state, restored, state.copy(check)):
+        assert candidate.apply(replace_order(altered(), base=7)).status == OrderStatus.ACCEPTED
+        result = candidate.apply(early)
+        assert (result.status, result.reason) == (OrderStatus.CONFLICT, ALREADY_REFUSED)
+        assert candidate.revision == 9 and len(candidate.accepted) == 2
+
+
+def test_recorded_refusals_are_bounded() -> None:
+    state = initial_state()
+    for number in range(MAX_REFUSED_DIGESTS + 10):
+        state.apply(refusal_of(Order(OrderKind.UPDATE, 100 + number, b"{}")))
+    assert len(state.refused) == MAX_REFUSED_DIGESTS
+    assert not state.must_record_refusal(Order(OrderKind.UPDATE, 100 + number, b"{}"))
+
+
 def test_an_update_changes_named_items_and_keeps_the_rest() -> None:
     state = initial_state()
     route = {**CONFIG["routes"][0], "timeout-ms": 1}
--- a/tests/cluster/test_worst_days.py
+++ b/tests/cluster/test_worst_days.py
@@ -6,10 +6,11 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable, Iterable
 
 import pytest
 
-from pebbledrift.control.orders import OrderStatus
+from pebbledrift.control.orders import Order, OrderStatus
 from tests.cluster.plays import SLOW, THREE, chain_of, head_of, hold, status_of, submit_change, tail_of
 from tests.cluster.simulation import ACCEPTED, Call, Cluster, Process, change
 
@@ -186,6 +187,72 @@
     assert cluster.replicas[head].log.state.revision == 7
 
 
+def _refuse_and_put_base_in_force(cluster: Cluster, at: str, between: Callable[[], None]) -> Order:
+    """Has an order refused whose base is not in place, then puts its base in force; returns the order."""
+    too_early = cluster.order(at, change(9, 7))
+    cluster.run(0.5)
+    assert status_of(too_early) == OrderStatus.CONFLICT
+    between()
+    submit_change(cluster, head_of(cluster), 7, 1)
+    assert too_early.order is not None
+    return too_early.order
+
+
+def _check_refused_everywhere(cluster: Cluster, order: Order, addresses: Iterable[str]) -> None:
+    copies = [cluster.order(address, order) for address in addresses]
+    cluster.run(3.0)
+    assert all(status_of(copy) == OrderStatus.CONFLICT for copy in copies), [status_of(c) for c in copies]
+    assert {replica.log.state.revision for replica in cluster.replicas.values()} == {7}
+
+
+def test_a_copy_of_a_refused_order_at_a_keeper_that_stood_still_does_not_come_into_force() -> None:
+    # guards against an order that was refused for its base being accepted once that base is in force
+    cluster = Cluster(THREE)
+    cluster.run(2.0)
+    submit_change(cluster, "a:1", 1, 0)
+    head = head_of(cluster)
+    frozen = next(address for address in THREE if address not in (head, tail_of(cluster)))
+    cluster.freeze(frozen, 4.5)
+    cluster.run(1.5)
+    copy = cluster.order(frozen, change(9, 7))
+    order = _refuse_and_put_base_in_force(cluster, head, lambda: None)
+    cluster.run(4.0)
+    assert status_of(copy) == OrderStatus.CONFLICT
+    _check_refused_everywhere(cluster, order, THREE)
+
+
+@pytest.mark.parametrize("between", [True, False], ids=["before its base", "after its base"])
+@pytest.mark.parametrize("event", ["the head is killed", "all restart"])
+def test_a_refused_order_stays_refused_over_a_change_of_head_and_restarts(event: str, between: bool) -> None:
+    # guards against refusals known to the head of one epoch alone
+    cluster = Cluster((*THREE, "d:1"))
+    cluster.run(2.0)
+    submit_change(cluster, "a:1", 1, 0)
+
+    def disturb() -> None:
+        head = head_of(cluster)
+        for address in [head] if event == "the head is killed" else list(cluster.processes):
+            cluster.kill(address, power=True)
+        cluster.run(2.5)
+        if event == "all restart":
+            for address in cluster.seeds:
+                cluster.start(address)
+            cluster.run(3.0)
+
+    order = _refuse_and_put_base_in_force(cluster, "b:1", disturb if between else lambda: None)
+    if not between:
+        disturb()
+    _check_refused_everywhere(cluster, order, list(cluster.processes))
+
+
+def test_a_refused_change_is_accepted_under_another_revision() -> None:
+    cluster = Cluster(THREE)
+    cluster.run(2.0)
+    submit_change(cluster, "a:1", 1, 0)
+    _refuse_and_put_base_in_force(cluster, "b:1", lambda: None)
+    submit_change(cluster, "b:1", 10, 7)
+
+
 def test_a_revision_is_assigned_once_and_a_change_sent_again_is_accepted_again() -> None:
     cluster = Cluster(THREE)
     cluster.run(2.0)
