Router: the limits in force apply to open client connections

Cause: a connection handed the limits to its parser when it was opened, and kept them for its life; a lowered limit was passed over in the same way.

Why this works: the connection asks for the limits in force before it reads on, and applies them unless it is within a request, which keeps those under which its head was read.

--- a/pebbledrift/net/request_connection.py
+++ b/pebbledrift/net/request_connection.py
@@ -106,6 +106,11 @@
             self.state_since = self._loop.time()
         super().buffer_updated(nbytes)
 
+    def apply_limits(self, limits: Limits) -> None:
+        """Applies other limits to the next request; one whose head was read keeps its own."""
+        if not self.parser.halfway:
+            self.limits = self.parser.limits = limits
+
     def message_received(self, message: Message) -> None:
         """Starts a request, or queues it while earlier input is not answered yet."""
         # also while an earlier request waits for the event loop to start it: requests keep their order
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -375,7 +375,7 @@
 
 
 class _ClientConnection(RequestConnection):
-    """A connection of a client of this router."""
+    """A connection of a client of this router. Each request is limited by the configuration in force."""
 
     def __init__(self, router: Router) -> None:
         super().__init__(router.parser_limits, router.begin_request, lambda: router.draining, router.clients)
@@ -385,6 +385,11 @@
         super().connection_made(transport)
         self._router.limit_clients(self)
 
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parses received bytes under the limits in force."""
+        self.apply_limits(self._router.parser_limits)
+        super().buffer_updated(nbytes)
+
 
 class _PendingAdmission:
     """The owner of a request that waits for quota tokens."""
