Router: the division of workers follows the slots in force

After a change from 4 to 40 slots 14 of 40 workers were reserved for 40 running requests in the place of 2 (the test's figures; it failed to run before, as there was no way to tell the pools).

--- a/pebbledrift/router/pools.py
+++ b/pebbledrift/router/pools.py
@@ -57,7 +57,8 @@
         self, make_placement: Callable[[float], Placement], is_model: bool, slots: int, routers: int
     ) -> None:
         self._loop = asyncio.get_running_loop()
-        self._is_model, self._slots = is_model, max(1, slots)
+        self._is_model = is_model
+        self.set_slots(slots)
         self.long = make_placement(1.0)
         # Streams run for a long time: raising the limit from 1 would take as long as many streams.
         self.short = (
@@ -74,6 +75,10 @@
         """Whether the workers of this service can be divided, as they are for model services."""
         return self._is_model
 
+    def set_slots(self, slots: int) -> None:
+        """Sets how many requests a worker runs at once; the next division uses it."""
+        self._slots = max(1, slots)
+
     def choose(self, prompt_tokens: float | None) -> Placement:
         """Returns the placement for a request by its prompt length; an unknown one (None) counts as long."""
         if not self._is_model:
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -179,11 +179,13 @@
         self.metrics.retain(routes, table.tenants)
         bounds = self.boot.bounds
         for name, backend in table.backends.items():
-            if name not in self.worker_pools:
-                self.worker_pools[name] = self._create_worker_pools(backend)
-                self.retry_budgets[name] = RetryBudget(
-                    bounds.retry_budget_ratio, bounds.budget_window_s, bounds.retry_budget_slack
-                )
+            if name in self.worker_pools:
+                self.worker_pools[name].set_slots(backend.slots)
+                continue
+            self.worker_pools[name] = self._create_worker_pools(backend)
+            self.retry_budgets[name] = RetryBudget(
+                bounds.retry_budget_ratio, bounds.budget_window_s, bounds.retry_budget_slack
+            )
         self.instances_changed()
 
     def _create_worker_pools(self, backend: Backend) -> WorkerPools:
--- a/tests/cluster/test_limits_in_force.py
+++ b/tests/cluster/test_limits_in_force.py
@@ -9,8 +9,11 @@
 import pytest
 
 from pebbledrift.bounds import Limits
+from pebbledrift.control.registry import Instance, parse_heartbeat
 from pebbledrift.net.http import Message
 from pebbledrift.net.request_connection import RequestConnection
+from pebbledrift.router.placement import Placement
+from pebbledrift.router.pools import WorkerPools
 from pebbledrift.router.service import _ClientConnection
 from tests.cluster.flow_harness import settle
 
@@ -74,3 +77,31 @@
             assert status == (head_before if offset >= len(HEAD) else head_after), f"changed at byte {offset}"
 
     asyncio.run(scenario())
+
+
+def test_the_division_of_workers_follows_the_slots_in_force() -> None:
+    # guards against workers being reserved by the slots of the configuration that first named the service
+    class Recorder:
+        """Replaces a placement: counts the workers that it is given."""
+
+        workers = 0
+
+        def failing_instances(self) -> set[str]:
+            return set()
+
+        def update_instances(self, instances: list[Instance]) -> None:
+            self.workers = len(instances)
+
+    async def scenario() -> None:
+        pools = WorkerPools(lambda limit: cast(Placement, Recorder()), True, 4, 1)
+        body = {"backend": "lm", "address": "127.0.0.1:9", "state": "ready"}
+        pools.update_instances([parse_heartbeat(f"i-{number}", body) for number in range(40)])
+        for prompt_tokens in (100.0, 100_000.0):
+            pools.choose(prompt_tokens)
+        pools.divide(40.0)
+        before = cast(Recorder, pools.short).workers
+        pools.set_slots(40)
+        pools.divide(40.0)
+        assert (before, cast(Recorder, pools.short).workers) == (14, 2)
+
+    asyncio.run(scenario())
