Router: the next attempt's response waits for a client that does not read

What would be seen: a client that reads slowly, whose stream is continued at another worker, has the rest of it buffered at the router as fast as the worker makes it.

Cause: that the client does not read was told to the attempt of that moment, and to a connection that was already written. The next attempt did not know.

Why this works: the request keeps it, and an exchange takes it before its request is written. The test failed before (the client was sent all of the second attempt's events while it did not read), and passes now.

--- a/pebbledrift/router/attempt.py
+++ b/pebbledrift/router/attempt.py
@@ -78,11 +78,12 @@
         """Time since the attempt was created, in milliseconds."""
         return (self._loop.time() - self._started_at) * 1000.0
 
-    def begin(self, pool: WorkerConnectionPool) -> None:
-        """Sends the request."""
+    def begin(self, pool: WorkerConnectionPool, reading_paused: bool = False) -> None:
+        """Sends the request; its response is not read while the client does not read."""
         self.exchange = Exchange(
             pool, parse_address(self.instance.address, "address"), self, self.owner.used_connections
         )
+        self.exchange.set_reading_paused(reading_paused)
         self.exchange.begin()
 
     def cancel(self) -> None:
--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -88,6 +88,7 @@
         self._cut_cause = CutCause.NO_ATTEMPT
         self._last_attempt: Attempt | None = None
         self._last_event_id: bytes | None = None  # of the last event that was forwarded
+        self._client_paused = False  # the client does not read what it was sent
         self._resumable = True  # whether another attempt can continue behind what was forwarded
         # a worker's error response, sent to the client if no other attempt succeeds
         self._error_response: tuple[int, Mapping[str, str], bytes] | None = None
@@ -118,7 +119,7 @@
         if attempt == 0:
             self._record_interval(self._route_metrics.waits)
         self._attempt = self._last_attempt = Attempt(self, attempt, instance, self._last_event_id)
-        self._attempt.begin(self._connection_pool)
+        self._attempt.begin(self._connection_pool, self._client_paused)
 
     def _record_interval(self, histogram: Histogram) -> None:
         """Records the time since the last progress in the histogram."""
@@ -197,6 +198,7 @@
 
     def client_write_paused(self, paused: bool) -> None:
         """Pauses or resumes reading the worker's response, following the client's reading."""
+        self._client_paused = paused
         if self._attempt is not None:
             self._attempt.exchange.set_reading_paused(paused)
 
--- a/pebbledrift/router/upstream.py
+++ b/pebbledrift/router/upstream.py
@@ -248,6 +248,7 @@
         self._connection: WorkerConnection | None = None
         self._task: asyncio.Task[None] | None = None
         self._cancelled = False
+        self._reading_paused = False
 
     def begin(self) -> None:
         """Writes the request on an idle connection, or opens a new one."""
@@ -279,6 +280,7 @@
         self._used_connections.append(connection)
         assert connection.transport is not None
         connection.transport.write(self.listener.request_bytes())
+        connection.set_reading_paused(self._reading_paused)
 
     def cancel(self) -> None:
         """Abandons the exchange; closing the connection signals this to the worker."""
@@ -289,7 +291,8 @@
             connection.abort()
 
     def set_reading_paused(self, paused: bool) -> None:
-        """Pauses or resumes reading the response, following the client's reading."""
+        """Pauses or resumes reading the response, following the client's reading; also before the write."""
+        self._reading_paused = paused
         if self._connection is not None and self._connection.exchange is self:
             self._connection.set_reading_paused(paused)
 
--- a/tests/cluster/test_resumed_streams.py
+++ b/tests/cluster/test_resumed_streams.py
@@ -131,3 +131,23 @@
     splitter = EventSplitter(resume_after=b"9" * 5000)
     event = b"id: " + b"8" * 5000 + b"\ndata: x\n\n"
     assert splitter.feed(event) == event
+
+
+def test_a_next_attempt_is_not_read_while_the_client_does_not_read() -> None:
+    # guards against a stream that is continued for a slow client being buffered without bound
+    async def scenario(harness: FlowHarness) -> None:
+        exchanged = await harness.request("r-1", route_of_kind("streaming"))
+        harness.worker.send(head("r-1") + chunk(EVENTS[0]))
+        await settle()
+        exchanged.flow.client_write_paused(True)
+        harness.worker.close()
+        await exchanged.cancel()
+        await exchanged.attempt()
+        harness.worker.send(head("r-1") + chunk(EVENTS[1] + EVENTS[2]) + chunk(b""))
+        await settle()
+        assert exchanged.client.body == EVENTS[0] and not exchanged.client.complete
+        exchanged.flow.client_write_paused(False)
+        await settle()
+        assert exchanged.client.body == STREAM and exchanged.client.complete
+
+    run_flows(scenario)
