Router: a leaving router reads the request of a new connection before it closes it

What callers saw: a connection reset in the place of 503, when a connection reached a router more than 2.5 s after its SIGTERM and its request was not read by the router's next look at its connections (each 50 ms).

Why this works: a connection without a request is closed after 0.25 s, as it was before those 2.5 s, too.

--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -38,6 +38,7 @@
 EXPECTED_STARTUP_S = 0.6  # usual time from the first readable request to the end of the startup
 DRAIN_RETRY_AFTER_S = 0.05  # while draining: a retry reaches another router
 MIN_STARTUP_RETRY_AFTER_S = 0.2  # minimum Retry-After while no configuration is in force
+DRAIN_IDLE_S = 0.25  # while draining: a connection without a request is closed after this time
 MAX_DRAIN_ACCEPT_S = 2.5  # by then the platform has seen twice that the router is not ready
 ABORT_BEFORE_GRACE_END_S = 0.7  # open connections are aborted this long before the grace period ends
 LISTEN_BACKLOG = 1024
@@ -120,7 +121,7 @@
         while self.loop.time() < abort_at:
             now = self.loop.time()
             for client in list(self.clients):
-                if client.idle and (now - client.state_since > 0.25 or now > refuse_after):
+                if client.idle and now - client.state_since > DRAIN_IDLE_S:
                     client.close()
             if now > refuse_after and not self.clients:
                 break
--- a/tests/cluster/test_processes.py
+++ b/tests/cluster/test_processes.py
@@ -149,6 +149,7 @@
 
 
 def test_a_request_read_long_after_sigterm_is_refused_at_once(fleet: Fleet) -> None:
+    # Also guards against new connections being reset before their request is read.
     # While it drains, the router decides by the run times measured for such requests.
     for _ in range(MIN_SAMPLES):
         assert fleet.request(0, "/plain/x")[0] == 200
@@ -172,6 +173,7 @@
         return status != 200
 
     wait_for(is_refused, "a request is refused")
+    assert _status_of_late_request(fleet) == 503
     request_thread.join(10.0)
     status, headers = answers[-1]
     assert status == 503 and float(headers["retry-after"]) < 1 and headers["connection"] == "close"
@@ -179,6 +181,17 @@
     assert [status for status, _ in answers[:-1]] == [200] * (len(answers) - 1)
 
 
+def _status_of_late_request(fleet: Fleet) -> int:
+    """The status of a request that is sent a moment after its connection was opened."""
+    connection = http.client.HTTPConnection(fleet.routers[0], fleet.front, timeout=6)
+    with contextlib.closing(connection):
+        connection.connect()
+        time.sleep(0.1)  # two looks of the leaving router at its connections
+        headers = {"Host": "estate.example", "X-Pebbledrift-Request-Id": "late"}
+        connection.request("POST", "/plain/x", b"{}", headers)
+        return connection.getresponse().status
+
+
 def test_a_pipelined_request_is_forwarded_with_its_remaining_time(fleet: Fleet) -> None:
     """With a longer deadline the worker would keep working for a client that has already given up."""
     worker = fleet.workers[0]
