Keepers: what unheard routers may spend is set aside from what is lent

Cause: two spend from one budget, one out of sight of the other. Routers that reach no lender go on at the rate that they had, and the lender lent the whole quota to the others. Where the lender itself was cut off, the next one never reconciled the reports if one router was missing and the others' came within 0.1 s, and took an equal part for what the missing ones had spent.

Why this works: the lender sets aside, for each router that it has not heard for a second, the rate that it had lent to it, from when it last heard it; for those whose rate it does not know the mean of the reports, an equal part at least.

--- a/pebbledrift/control/quota.py
+++ b/pebbledrift/control/quota.py
@@ -13,6 +13,7 @@
 from enum import IntEnum
 from typing import Any
 
+from pebbledrift.control.unheard import Absence, UnheardRouters
 from spoolpier.records import record
 
 MIN_BURST_S = 0.25  # smallest usable burst, in seconds of the rate
@@ -24,6 +25,7 @@
 SLOT_S = 0.5  # length of a time slot in spending reports
 BUCKET_DEPTH_BURSTS = 1.6  # bucket capacity; above 1 so that short peaks pass, as the window bounds the total
 WINDOW_MARGIN_S = 0.5  # added to the window's span, because lent tokens reach the worker with a delay
+MIN_FALLBACK_SHARE = 0.25  # minimum rate of a router without a lender, as a share of its equal part
 OVERSHOOT_SHARE = 0.5  # part of the allowed overshoot to lend; the rest covers spending unknown to a new head
 
 
@@ -197,6 +199,7 @@
     bucket: Bucket
     lent: SpendingHistory
     spent_before: SpendingHistory
+    reported_rate: float = 0.0  # mean rate of the routers that reported when this lender began
 
     @property
     def burst(self) -> float:
@@ -223,13 +226,16 @@
     def reconcile(self, reports: Sequence[SpendingReport], routers: int, now: float) -> None:
         """Raise the bucket levels to what is left of the quotas according to the routers' spending reports.
 
-        A router without a report is assumed to have spent its equal part of the quota. For the time before a
-        router's restart, which its report does not cover, half of that part is assumed. At worst the other
-        half is lent twice, which is well within the allowed overshoot.
+        A router without a report is assumed to have spent as much as the others on average, and at least its
+        equal part of the quota. For the time before a router's restart, which its report does not cover, half
+        of the equal part is assumed. At worst the other half is lent twice, which is well within the allowed
+        overshoot.
         """
         for name, account in self._accounts.items():
             spending = self._spending_before(name, account.quota.rate, reports, routers, now)
             account.spent_before.replace(spending)
+            reported = sum(sum(report.spent.get(name, ())) for report in reports)
+            account.reported_rate = reported / max(1, len(reports)) / self._window.remembered_s
             bucket = account.bucket
             bucket.refill(now)
             since = now - bucket.burst / bucket.rate
@@ -241,9 +247,12 @@
     ) -> list[SpendingSlot]:
         """Reported and assumed spending of all routers before this lender took over."""
         equal_part = rate * SLOT_S / max(1, routers, len(reports))  # of one router in one time slot
-        unreported = max(0, routers - len(reports)) * equal_part
+        missing = max(0, routers - len(reports))
         count = math.ceil(self._window.remembered_s / SLOT_S)
-        spending = [SpendingSlot(_slot_middle(now, index), unreported) for index in range(count)]
+        spending = []
+        for index in range(count):
+            unreported = missing * max(equal_part, _mean_in_slot(name, reports, index))
+            spending.append(SpendingSlot(_slot_middle(now, index), unreported))
         for report in reports:
             spent = report.spent.get(name, ())
             covered_slots = (report.age_s + MIN_RESTART_S) / SLOT_S
@@ -286,6 +295,20 @@
             status[name] = {"rate": quota.rate, "burst": quota.burst, "lent": lent, "most": max_lent}
         return status
 
+    def set_aside(
+        self, absences: Iterable[Absence], unheard: UnheardRouters, routers: int, now: float
+    ) -> None:
+        """Count what routers may have spent by themselves while they were not heard as lent to them."""
+        for absence in absences:
+            for name, account in self._accounts.items():
+                equal_part = account.quota.rate / max(1, routers)
+                known_least = MIN_FALLBACK_SHARE * equal_part
+                least = max(equal_part, account.reported_rate) if absence.is_new else known_least
+                rate = min(max(unheard.rate(absence.router, name), least), account.quota.rate)
+                tokens = rate * absence.duration_s
+                account.lent.add(tokens, now)
+                unheard.lent(absence.router, name, tokens, now)
+
     def lend(
         self, tenant: str, need: float, want: float, now: float, priority: LoanPriority
     ) -> tuple[float, float]:
@@ -311,3 +334,9 @@
 def _slot_middle(reported_at: float, index: int) -> float:
     """The middle of a time slot; slot 0 ends at the time of the report."""
     return reported_at - (index + 0.5) * SLOT_S
+
+
+def _mean_in_slot(name: str, reports: Sequence[SpendingReport], index: int) -> float:
+    """Tokens of a tenant that a router spent in one time slot, on average over the reports."""
+    spent = [report.spent.get(name, ()) for report in reports]
+    return sum(slots[index] for slots in spent if index < len(slots)) / max(1, len(reports))
--- a/pebbledrift/keeper/service.py
+++ b/pebbledrift/keeper/service.py
@@ -263,12 +263,13 @@
     def _on_router_message(self, channel: Channel, message: Any) -> None:
         if self.relays.received(channel, channel.address, message):
             return
+        now, name = self.loop.time(), self.network.routers.get(channel, "")
+        if isinstance(message, TokenRequest | TokenReport | RouterReport):
+            self.lending.heard(name, now)
         if isinstance(message, TokenRequest):
-            now = self.loop.time()
-            channel.send(self.lending.lend(message, self.is_active_head(now), now))
+            channel.send(self.lending.lend(message, self.is_active_head(now), now, name))
         elif isinstance(message, TokenReport):
-            name = self.network.routers[channel]
-            self.lending.add_report(name, message, self.network.router_count, self.loop.time())
+            self.lending.add_report(name, message, self.network.router_count, now)
         elif isinstance(message, RouterReport):
             self._router_reports[channel] = message
 
--- a/pebbledrift/router/tokens.py
+++ b/pebbledrift/router/tokens.py
@@ -12,7 +12,13 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
 
-from pebbledrift.control.quota import Bucket, LoanPriority, QuotaWindow, SpendingHistory
+from pebbledrift.control.quota import (
+    MIN_FALLBACK_SHARE,
+    Bucket,
+    LoanPriority,
+    QuotaWindow,
+    SpendingHistory,
+)
 from pebbledrift.overlay.messages import TokenGrant, TokenReport, TokenRequest
 from pebbledrift.router.routes import Tenant
 
@@ -25,7 +31,6 @@
 SMALL_COST_SHARE = 0.2  # a request that costs less than this share of the tenant's average cost is small
 AVERAGE_COST_WEIGHT = 0.05  # weight of each new request in that average
 FALLBACK_BURST_S = 0.3  # without a keeper, a tenant can save up the tokens of this time
-MIN_FALLBACK_SHARE = 0.25  # minimum rate without a keeper, as a share of the router's equal part
 
 
 class Lender(Protocol):
