Tests: the review's faults put back are noticed; drawn sequences on shared worker connections

Seven lines in the table of mutations, for the faults of the review. Two were not noticed at first, since each of the mechanisms for foreign bytes covers the other; the test also asks now that the connection is not used again.

--- a/tests/cluster/mutations.py
+++ b/tests/cluster/mutations.py
@@ -20,6 +20,7 @@
 WORST_CASES = (
     "tests/cluster/test_worst_days.py tests/cluster/test_slow_links.py tests/cluster/test_drawn_days.py"
 )
+FOREIGN_BYTES = "tests/cluster/test_foreign_bytes.py tests/cluster/test_worker_machine.py"
 AGREEMENT = "tests/cluster/test_agreement_model.py"
 
 
@@ -411,6 +412,55 @@
         "tests/cluster/test_follower.py",
         "status",
     ),
+    Mutation(
+        "bytes on an idle worker connection end it",
+        "pebbledrift/router/upstream.py",
+        "        if self.exchange is not None:\n            super().feed(data)\n            return\n",
+        "        super().feed(data)\n        return\n",
+        FOREIGN_BYTES,
+    ),
+    Mutation(
+        "a worker connection with unread bytes is not used",
+        "pebbledrift/router/upstream.py",
+        'return not has_unread_input(self.transport.get_extra_info("socket"))',
+        "return True",
+        FOREIGN_BYTES,
+    ),
+    Mutation(
+        "a head begins at its last status line",
+        "pebbledrift/net/http.py",
+        "            end -= self._drop_foreign_bytes(end)\n",
+        "            end -= 0\n",
+        FOREIGN_BYTES,
+    ),
+    Mutation(
+        "a second attempt uses another connection",
+        "pebbledrift/router/upstream.py",
+        "            if connection in avoided:\n                continue\n",
+        "",
+        FOREIGN_BYTES,
+    ),
+    Mutation(
+        "an incomplete event ends with its attempt",
+        "pebbledrift/router/attempt.py",
+        "self.events = EventSplitter(resume_after)",
+        'self.events = owner.__dict__.setdefault("splitter", EventSplitter())',
+        "tests/cluster/test_resumed_streams.py tests/cluster/test_worker_machine.py",
+    ),
+    Mutation(
+        "client connections follow the limits in force",
+        "pebbledrift/router/service.py",
+        "        self.apply_limits(self._router.parser_limits)\n",
+        "",
+        "tests/cluster/test_limits_in_force.py",
+    ),
+    Mutation(
+        "what unheard routers may spend is set aside",
+        "pebbledrift/keeper/lending.py",
+        "        self._set_aside(now)\n",
+        "",
+        "tests/cluster/test_unheard_routers.py",
+    ),
 )
 
 
--- a/tests/cluster/test_foreign_bytes.py
+++ b/tests/cluster/test_foreign_bytes.py
@@ -108,6 +108,8 @@
             requests = [request for worker in harness.pool.workers for request in worker.requests]
             runs = sum(request.headers["x-pebbledrift-request-id"] == "next" for request in requests)
             _check(following, runs, moment, foreign)
+            if moment in BETWEEN_REQUESTS:
+                assert harness.pool.opened_count == 2, f"used again: {moment.name} {foreign!r}"
             harness.pool.close()
             await asyncio.sleep(0)
 
