Keepers: a keeper that does not lend forgets routers that are gone, too

Routers that are not heard were dropped only by a keeper that lends: the successor in the chain, which hears all routers, kept each name for good. The test failed before (1,000 names kept) and passes now.

--- a/pebbledrift/control/unheard.py
+++ b/pebbledrift/control/unheard.py
@@ -82,6 +82,7 @@
         """Records that a message of a router was received."""
         contact = self._contacts.get(router)
         if contact is None:
+            self._forget_gone(now)
             self._contacts[router] = _Contact(now, now, now)
             return
         if now - contact.heard_at > SILENCE_S:
@@ -117,14 +118,18 @@
         """Returns the times without contact since the last call, up to now."""
         absences = list(self._absences)
         self._absences.clear()
-        for router, contact in list(self._contacts.items()):
-            silence = now - contact.heard_at
-            if silence > FORGET_ROUTER_S:
-                del self._contacts[router]
-            elif silence > SILENCE_S:
+        self._forget_gone(now)
+        for router, contact in self._contacts.items():
+            if now - contact.heard_at > SILENCE_S:
                 absences += self._absence(router, contact, now)
         return absences + self._unnamed_absences(now)
 
+    def _forget_gone(self, now: float) -> None:
+        """Drops the routers that have been silent for too long."""
+        for router, contact in list(self._contacts.items()):
+            if now - contact.heard_at > FORGET_ROUTER_S:
+                del self._contacts[router]
+
     def _absence(self, router: str, contact: _Contact, now: float) -> list[Absence]:
         """The time without contact that is not accounted for, which is then taken for accounted."""
         start = max(contact.heard_at, contact.accounted_until, self._lending_since)
--- a/tests/cluster/test_unheard_routers.py
+++ b/tests/cluster/test_unheard_routers.py
@@ -9,7 +9,7 @@
 import pytest
 
 from pebbledrift.control.quota import MIN_FALLBACK_SHARE, LoanPriority, QuotaWindow
-from pebbledrift.control.unheard import FORGET_ROUTER_S, SILENCE_S
+from pebbledrift.control.unheard import FORGET_ROUTER_S, SILENCE_S, UnheardRouters
 from pebbledrift.keeper.lending import LendingService
 from pebbledrift.overlay.messages import TokenReport, TokenRequest
 
@@ -165,3 +165,11 @@
     fleet.cut.clear()
     fleet.run(10.0)
     assert fleet.most_spent() <= ALLOWED * (1.0 + WINDOW.overshoot)
+
+
+def test_a_keeper_that_does_not_lend_keeps_no_router_for_good() -> None:
+    # guards memory: only a keeper that lends looks for routers that are not heard
+    unheard = UnheardRouters(WINDOW.remembered_s)
+    for number in range(1000):
+        unheard.heard(f"router-{number}", float(number))
+    assert unheard.count() <= FORGET_ROUTER_S + 2
