--- a/review/5/play.py
+++ b/review/5/play.py
@@ -1,8 +1,9 @@
-"""Two of ten workers are lost and replaced again and again: then ten sound workers serve next to nothing."""
+"""A router gets SIGTERM while requests wait in it for a worker: their connections end without an answer."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
@@ -17,91 +18,65 @@
     Run,
     Try,
     Worker,
+    client_try,
     configuration,
-    load,
     main,
     route,
     up,
 )
 
-STEADY, UNSTEADY = 8, 2  # workers; 2 of 10 is the largest share of the site files for `srv_crash`, 0.2
-BEFORE_S = 5.0
-TROUBLE_S = 60.0
-LIFE_S = 1.0  # of a worker that does not stay up
-RECOVERY_S = 12.0  # `recovery-s`
-AFTER_S = 15.0
-PER_S = 8.0
-
-
-def share_served(tries: list[Try], since: float, until: float) -> tuple[int, int]:
-    """How many of the requests sent in a span were served, and how many were sent."""
-    sent = [attempt for attempt in tries if since <= attempt.sent_at < until]
-    return sum(attempt.answer is not None and attempt.answer.status == 200 for attempt in sent), len(sent)
-
-
-async def started(fleet: Fleet, runs: list[Run]) -> Worker:
-    """Start a worker: a new incarnation with a port of its own."""
-    worker = Worker(fleet, "kiosk", runs)
-    await worker.open()
-    return worker
-
-
-async def crash_loop(fleet: Fleet, worker: Worker, runs: list[Run], end: float) -> Worker:
-    """Crash a worker and start its successor, until `end`; returns the last one, which stays up."""
-    while time.monotonic() < end:
-        await asyncio.sleep(LIFE_S)
-        fleet.record(f"worker {worker.id} at {worker.address}: lost for good")
-        await worker.close()
-        worker = await started(fleet, runs)
-    return worker
+TIMEOUT_MS, AIM_MS = 15_000, 12_000  # the route's; the site's largest time-out is 15 s
+WORK_S = 11.0
+WORKERS, RUNNING, WAITING = 2, 2, 6
+GRACE_S = 8.0  # `grace-s`
 
 
 async def play(fleet: Fleet, trouble: bool) -> int:
-    """Serve, lose workers for a minute, and serve on with as many sound workers as before."""
-    config = configuration(1, [route("ping", "unsafe", "kiosk", **{"max-attempts": 1})], ["kiosk"])
-    await up(fleet, config)
+    """Fill the workers, have further requests wait at one router, and stop that router as planned work."""
+    batch = route(
+        "batch", "unsafe", "lm", **{"timeout-ms": TIMEOUT_MS, "target-latency-ms": AIM_MS, "max-attempts": 1}
+    )
+    await up(fleet, configuration(1, [batch], ["lm"]))
     runs: list[Run] = []
-    steady = [await started(fleet, runs) for _ in range(STEADY)]
-    unsteady = [await started(fleet, runs) for _ in range(UNSTEADY)]
-    await asyncio.sleep(3)
+    workers = [Worker(fleet, "lm", runs) for _ in range(WORKERS)]
+    for worker in workers:
+        worker.slots, worker.work_s = 1, WORK_S
+        await worker.open()
+    await asyncio.sleep(4)  # the fleet is calm for longer than contact-ms
     tries: list[Try] = []
-    stop = asyncio.Event()
-    clients = asyncio.create_task(load(fleet, "/ping/1", PER_S, tries, stop))
-    began = time.monotonic()
-    await asyncio.sleep(BEFORE_S)
-    trouble_at = time.monotonic()
+    tasks = []
+    for number in range(RUNNING + WAITING):
+        if number == RUNNING:
+            await asyncio.sleep(1.0)
+        tasks.append(asyncio.create_task(client_try(fleet, 0, "/batch/1", tries, TIMEOUT_MS)))
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(0.5)
+    if len(runs) != RUNNING:
+        raise CouldNotRunError(f"{len(runs)} requests run, not {RUNNING}")
+    stopped_at = time.monotonic()
     if trouble:
-        loops = (crash_loop(fleet, worker, runs, trouble_at + TROUBLE_S) for worker in unsteady)
-        unsteady = list(await asyncio.gather(*loops))
-    else:
-        await asyncio.sleep(TROUBLE_S)
-    calm_at = time.monotonic()
-    await asyncio.sleep(RECOVERY_S)
-    workers = [*steady, *unsteady]
-    judged_from = time.monotonic()
-    beats_before = [worker.acknowledged for worker in workers]
-    await asyncio.sleep(AFTER_S)
-    judged_until = time.monotonic()
-    beats = [worker.acknowledged - before for worker, before in zip(workers, beats_before, strict=True)]
-    stop.set()
-    await clients
-    say = fleet.record.say
-    before = share_served(tries, began, trouble_at)
-    say("served before workers were lost: {} of {}".format(*before))
-    say("served meanwhile: {} of {}".format(*share_served(tries, trouble_at, calm_at)))
-    say(
-        "served in the {:.0f} s after it: {} of {}".format(
-            RECOVERY_S, *share_served(tries, calm_at, judged_from)
-        )
-    )
-    after = share_served(tries, judged_from, judged_until)
-    say("served later than recovery-s after it: {} of {}".format(*after))
-    say(f"heartbeats of the {len(workers)} workers that were acknowledged in that time: {beats}")
+        fleet.signal(fleet.routers[0], signal.SIGTERM)
+    ended: dict[str, float] = {}
+    for task in tasks:
+        task.add_done_callback(lambda done: ended.setdefault(done.result().request, time.monotonic()))
+    await asyncio.wait(tasks)
     for worker in workers:
         await worker.close()
-    if 4 * before[0] < before[1] or not before[1] or not after[1]:
-        raise CouldNotRunError("too little was served before")
-    return BROKEN if 4 * after[0] < after[1] else HELD
+    ran = {run.request for run in runs}
+    lost = []
+    for attempt in tries:
+        answer = attempt.answer
+        assert answer is not None
+        after_s = ended[attempt.request] - stopped_at
+        state = "had been passed on" if attempt.request in ran else "never reached a worker"
+        fleet.record.say(
+            f"{attempt.request} {state}: {answer.status} {answer.reason}, {after_s:.2f} s after the signal"
+        )
+        early = ended[attempt.request] - attempt.sent_at < TIMEOUT_MS / 1000
+        if attempt.request not in ran and answer.status == 0 and early and after_s < GRACE_S + 1:
+            lost.append(attempt.request)
+    fleet.record.say(f"requests that were read, never passed on, and ended without an answer: {len(lost)}")
+    return BROKEN if lost else HELD
 
 
 if __name__ == "__main__":
