--- a/review/standins.py
+++ b/review/standins.py
@@ -16,6 +16,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
@@ -524,6 +525,7 @@
 ) -> int:
     """Play a case; returns the exit code."""
     record = Record(folder / "record.txt")
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(COULD_NOT_RUN))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say(f"trouble: {'yes' if trouble else 'no'}")
     fleet = Fleet(record, keepers, routers)
