--- a/review/standins.py
+++ b/review/standins.py
@@ -479,6 +479,7 @@
         "X-Pebbledrift-Deadline-Ms": str(deadline_ms),
         "Authorization": f"Token {KEY}",
     }
+    fleet.record(f"client: sends {attempt.request} to router {router}, {path}")
     answer = await call(fleet.front_of(router), "POST", path, headers, body, deadline_ms / 1000 + 0.5)
     attempt.answer = answer
     fleet.record(f"client: {attempt.request} at router {router}: {answer.status} {answer.reason}")
