--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -20,6 +20,7 @@
 from pebbledrift.router.events import EventTooLong
 from pebbledrift.router.metrics import NO_TENANT, Histogram, Outcome, RouterMetrics
 from pebbledrift.router.pools import WorkerPools
+from pebbledrift.router.progress import Progress
 from pebbledrift.router.retries import RetryBudget
 from pebbledrift.router.routes import MAX_PRIORITY
 from pebbledrift.router.upstream import WorkerConnection, WorkerConnectionPool
@@ -105,6 +106,18 @@
         remaining_ms = max(1.0, (self.admitted.deadline - self._loop.time()) * 1000.0)
         self._placement.submit(self.admitted.name, self, self.admitted.route, self.admitted.key, remaining_ms)
 
+    @property
+    def progress(self) -> Progress:
+        """How far the request has come."""
+        attempt = self._attempt
+        if self._head_sent:
+            return Progress.ANSWERING
+        if attempt is not None and attempt.written:
+            return Progress.AT_WORKER
+        if self._may_have_run:
+            return Progress.AWAITING_RETRY
+        return Progress.AWAITING_WORKER if attempt is None else Progress.CONNECTING
+
     # decisions of the placement
 
     def send(self, attempt: int, instance: Instance) -> None:
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -26,6 +26,7 @@
 from pebbledrift.router.metrics import Outcome, RouterMetrics
 from pebbledrift.router.placement import Placement
 from pebbledrift.router.pools import WorkerPools
+from pebbledrift.router.progress import Progress
 from pebbledrift.router.retries import RetryBudget
 from pebbledrift.router.routes import Backend, ClientLimits, Route, RoutingTable, Tenant
 from pebbledrift.router.tokens import TokenBudgets
@@ -128,9 +129,20 @@
             await asyncio.sleep(0.05)
         client_server.close()
         for client in list(self.clients):
+            self._log_open_request(client)
             client.end_reason = SHUTDOWN
             client.abort()
 
+    @staticmethod
+    def _log_open_request(client: RequestConnection) -> None:
+        """Logs what the connection of a client still waits for when this process exits."""
+        owner = client.owner
+        if isinstance(owner, RequestFlow | _PendingAdmission):
+            request_id = owner.admitted.message.headers.get(request.REQUEST_ID, "")
+            log.warning(
+                "request open at exit", extra={"request": request_id, "progress": owner.progress.value}
+            )
+
     def _reload_settings(self) -> None:
         try:
             self.boot = self._load_settings()
@@ -308,7 +320,7 @@
     ) -> RequestOwner | None:
         if tenant is None or not tenant.limited:
             return self._start_flow(client, admitted)
-        pending = _PendingAdmission()
+        pending = _PendingAdmission(admitted)
         name = tenant.name
 
         def on_quota_decision(retry_after: float | None) -> None:
@@ -397,7 +409,10 @@
 class _PendingAdmission:
     """The owner of a request that waits for quota tokens."""
 
-    def __init__(self) -> None:
+    progress = Progress.AWAITING_QUOTA
+
+    def __init__(self, admitted: Admitted) -> None:
+        self.admitted = admitted
         self.closed = False
         self.flow: RequestFlow | None = None
 
