--- a/pebbledrift/net/request_connection.py
+++ b/pebbledrift/net/request_connection.py
@@ -20,7 +20,6 @@
 
 log = logging.getLogger(__name__)
 
-SHUTDOWN = "shutdown"  # end_reason of connections that this process closes when it exits
 MAX_FLUSH_S = 8.0  # time a client has to read its last response; the rest is dropped then
 MAX_PIPELINED_REQUESTS = 4  # per connection; reading pauses while that many are queued
 
@@ -229,15 +228,23 @@
             transport is None or transport.is_closing() or peer_has_closed(transport.get_extra_info("socket"))
         )
 
+    @property
+    def receiving(self) -> bool:
+        """Whether a request has been received in part, and no response is pending."""
+        return self.parser.inside and self._lingering_close is None and not self.busy
+
     def request_timed_out(self, now: float, timeout_s: float) -> bool:
         """Whether the request being received has been incomplete for more than `timeout_s` seconds."""
-        incomplete = self.parser.inside and self._lingering_close is None
-        return incomplete and not self.busy and now - self.state_since > timeout_s
+        return self.receiving and now - self.state_since > timeout_s
 
     def reject_timed_out_request(self) -> None:
         """Answers an incomplete request that has timed out with status 408 and closes the connection."""
+        self.reject_incomplete_request(408, "the request did not arrive in time")
+
+    def reject_incomplete_request(self, status: int, reason: str) -> None:
+        """Answers a request that has been received in part, and closes the connection."""
         self.parser.drop()
-        self._reject_and_close(408, "the request did not arrive in time")
+        self._reject_and_close(status, reason)
 
     def close(self) -> None:
         """Closes a connection that has no pending response."""
--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -12,7 +12,7 @@
 
 from pebbledrift.control.registry import Instance
 from pebbledrift.net.http import Message, request
-from pebbledrift.net.request_connection import SHUTDOWN, RequestConnection
+from pebbledrift.net.request_connection import RequestConnection
 from pebbledrift.router import request as header_names
 from pebbledrift.router.admitted import Admitted
 from pebbledrift.router.attempt import Attempt
@@ -31,6 +31,7 @@
 RESPONSE_MARGIN_S = 0.02  # the final response is sent this long before the client's deadline
 MIN_REMAINING_S = 0.01  # with less time remaining nothing is sent to a worker
 RETRY_AFTER_MS = 100.0  # sent with the response to a request that was not run
+DRAIN_RETRY_AFTER_S = 0.05  # while the router shuts down: a retry reaches another one
 STRIPPED_HEADERS = frozenset(
     (
         *header_names.HOP_BY_HOP_HEADERS,
@@ -57,6 +58,9 @@
     def revision(self) -> int:
         """The revision of the configuration in force."""
 
+    def may_start(self, admitted: Admitted) -> bool:
+        """Whether a request that has not run may be sent; not if this process exits too soon."""
+
 
 class RequestFlow:
     """The processing of one admitted request. Nothing more happens once `_finished` is set."""
@@ -124,6 +128,10 @@
         """Starts an attempt at a worker, if the retry budget allows it."""
         if self._finished:
             return
+        if self.progress.has_not_run and not self._router.may_start(self.admitted):
+            self._report_outcome(attempt, instance, OutcomeKind.CANCELLED, 0.0, done=True)
+            self.end_for_shutdown()
+            return
         if attempt > 0 and not self._retry_budget.take(self._loop.time(), self._router.routers()):
             self._cut_cause = CutCause.RETRY_BUDGET
             self._report_outcome(attempt, instance, OutcomeKind.CANCELLED, 0.0, done=True)
@@ -181,13 +189,29 @@
         else:
             self.refuse(RETRY_AFTER_MS)
 
-    def _deadline_reached(self) -> None:
+    def end_for_shutdown(self) -> None:
+        """Gives the request its final response because this process exits."""
         if self._finished:
             return
+        self._cancel_attempt()
+        self._cut_cause = CutCause.SHUTDOWN
+        if self._may_have_run:
+            self.fail()
+        else:
+            self.refuse(DRAIN_RETRY_AFTER_S * 1000.0)
+        self._placement.client_gone(self.admitted.name)
+
+    def _cancel_attempt(self) -> None:
+        """Cancels the present attempt, if there is one."""
         attempt = self._attempt
         if attempt is not None:
             self._may_have_run = self._may_have_run or attempt.written
             attempt.cancel()
+
+    def _deadline_reached(self) -> None:
+        if self._finished:
+            return
+        self._cancel_attempt()
         if self._head_sent:
             self._cut_cause = CutCause.TIME_LIMIT
             self._abort_response()
@@ -204,8 +228,7 @@
         if self._finished:
             return
         if self._head_sent:
-            shutting_down = self.client.end_reason == SHUTDOWN
-            self._record_cut(CutCause.SHUTDOWN if shutting_down else CutCause.CLIENT)
+            self._record_cut(CutCause.CLIENT)
         self._finish(Outcome.CLIENT_GONE)
         self._placement.client_gone(self.admitted.name)
 
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import math
 import secrets
 import signal
 from collections.abc import Callable
@@ -16,17 +15,18 @@
 from pebbledrift.control.quota import QuotaWindow
 from pebbledrift.control.registry import Instance, InstanceState
 from pebbledrift.net.http import Message
-from pebbledrift.net.request_connection import SHUTDOWN, RequestConnection, RequestOwner
+from pebbledrift.net.request_connection import RequestConnection, RequestOwner
 from pebbledrift.net.request_server import longest_without_request
 from pebbledrift.overlay.messages import TokenGrant, TokenReport, TokenRequest
 from pebbledrift.router import readiness, request
 from pebbledrift.router.admitted import Admitted
 from pebbledrift.router.control import ControlLinks
-from pebbledrift.router.flow import RequestFlow
-from pebbledrift.router.metrics import Outcome, RouterMetrics
+from pebbledrift.router.draining import Drain, DrainSchedule
+from pebbledrift.router.flow import DRAIN_RETRY_AFTER_S, RequestFlow
+from pebbledrift.router.metrics import RouterMetrics
+from pebbledrift.router.pending_admission import PendingAdmission
 from pebbledrift.router.placement import Placement
 from pebbledrift.router.pools import WorkerPools
-from pebbledrift.router.progress import Progress
 from pebbledrift.router.retries import RetryBudget
 from pebbledrift.router.routes import Backend, ClientLimits, Route, RoutingTable, Tenant
 from pebbledrift.router.tokens import TokenBudgets
@@ -37,11 +37,7 @@
 
 SWEEP_INTERVAL_S = 0.5
 EXPECTED_STARTUP_S = 0.6  # usual time from the first readable request to the end of the startup
-DRAIN_RETRY_AFTER_S = 0.05  # while draining: a retry reaches another router
 MIN_STARTUP_RETRY_AFTER_S = 0.2  # minimum Retry-After while no configuration is in force
-DRAIN_IDLE_S = 0.25  # while draining: a connection without a request is closed after this time
-MAX_DRAIN_ACCEPT_S = 2.5  # by then the platform has seen twice that the router is not ready
-ABORT_BEFORE_GRACE_END_S = 0.7  # open connections are aborted this long before the grace period ends
 LISTEN_BACKLOG = 1024
 # Of the descriptors of the process: the rest is for connections to workers, uplinks and children.
 CLIENT_DESCRIPTOR_SHARE = 0.5
@@ -66,9 +62,7 @@
         self.retry_budgets: dict[str, RetryBudget] = {}
         self._request_count = 0
         self._stop_requested = asyncio.Event()
-        self.draining = False
-        self._refuse_after = math.inf  # while draining: requests read later are refused
-        self._abort_at = math.inf  # while draining: connections still open then are aborted
+        self._drain_schedule: DrainSchedule | None = None  # set once the shutdown has begun
         self._listening_since = 0.0
         self._startup_done = False
         self._mismatched_instances: dict[str, None] = {}
@@ -91,7 +85,7 @@
         self._listening_since = self.loop.time()
         log.info("listening")
         await self._stop_requested.wait()
-        await self._drain(client_server)
+        await self._shut_down_clients(client_server)
         self._sweep_timer.cancel()
         hold_sighup(True)
         await readiness_server.close(0.0)
@@ -110,38 +104,14 @@
             victim.abort()
         log.warning("too many connections", extra={"open": len(self.clients), "replaced": len(victims)})
 
-    async def _drain(self, client_server: asyncio.Server) -> None:
-        """Answers the requests that were read, and closes connections after that or once they are idle."""
-        self.draining = True
+    async def _shut_down_clients(self, client_server: asyncio.Server) -> None:
+        """Answers the requests that were read, and closes the connections of all clients."""
         log.info("leaving")
-        abort_at = self.loop.time() + max(0.5, self.boot.bounds.grace_s - ABORT_BEFORE_GRACE_END_S)
-        self._abort_at = abort_at
-        refuse_after = self._refuse_after = self.loop.time() + min(
-            MAX_DRAIN_ACCEPT_S, self.boot.bounds.grace_s / 3
-        )
-        while self.loop.time() < abort_at:
-            now = self.loop.time()
-            for client in list(self.clients):
-                if client.idle and now - client.state_since > DRAIN_IDLE_S:
-                    client.close()
-            if now > refuse_after and not self.clients:
-                break
-            await asyncio.sleep(0.05)
+        self._drain_schedule = DrainSchedule.starting(self.loop.time(), self.boot.bounds.grace_s)
+        drain = Drain(self.clients, self._drain_schedule, self.may_start)
+        await drain.answer_requests()
         client_server.close()
-        for client in list(self.clients):
-            self._log_open_request(client)
-            client.end_reason = SHUTDOWN
-            client.abort()
-
-    @staticmethod
-    def _log_open_request(client: RequestConnection) -> None:
-        """Logs what the connection of a client still waits for when this process exits."""
-        owner = client.owner
-        if isinstance(owner, RequestFlow | _PendingAdmission):
-            request_id = owner.admitted.message.headers.get(request.REQUEST_ID, "")
-            log.warning(
-                "request open at exit", extra={"request": request_id, "progress": owner.progress.value}
-            )
+        await drain.end_requests()
 
     def _reload_settings(self) -> None:
         try:
@@ -151,6 +121,11 @@
             return
         self.control.reload(self.boot)
 
+    @property
+    def draining(self) -> bool:
+        """Whether this process is shutting down."""
+        return self._drain_schedule is not None
+
     def ready(self) -> bool:
         """Whether new connections are accepted."""
         return not self.draining and self._check_startup()
@@ -260,8 +235,9 @@
     def begin_request(self, client: RequestConnection, message: Message) -> RequestOwner | None:
         """Routes and admits a request, or answers it at once."""
         table = self.routing_table
-        if self.loop.time() > self._refuse_after:
-            client.send_response(503, {"Retry-After": f"{DRAIN_RETRY_AFTER_S:.3f}"}, b"")
+        schedule = self._drain_schedule
+        if schedule is not None and self.loop.time() > schedule.refuse_after:
+            _refuse_while_draining(client)
             return None
         if table is None or not self._check_startup():
             client.send_response(503, {"Retry-After": self._startup_retry_after()}, b"")
@@ -291,20 +267,22 @@
             output_tokens=None if prompt is None else prompt.output_tokens,
             arrived=client.request_received_at,
         )
-        if self.draining and not self._fits_in_drain(admitted):
-            client.send_response(503, {"Retry-After": f"{DRAIN_RETRY_AFTER_S:.3f}"}, b"")
+        if not self.may_start(admitted):
+            _refuse_while_draining(client)
             return None
         return self._admit(client, admitted, tenant, None if prompt is None else prompt.tokens)
 
-    def _fits_in_drain(self, admitted: Admitted) -> bool:
-        """Whether a request will probably finish before this process exits.
+    def may_start(self, admitted: Admitted) -> bool:
+        """Whether a request that has not run may be sent to a worker.
 
-        Otherwise it is refused, so that another router takes it: responses that are still open at the end of
-        the grace period are cut, and a client cannot tell how much of the request was processed.
+        A router that shuts down sends only what will probably finish before this process exits. It refuses
+        all else, so that another router takes it.
         """
+        schedule = self._drain_schedule
+        if schedule is None:
+            return True
         expected_s = self.metrics.of_route(admitted.route.name).run_times.estimate(admitted.output_tokens)
-        now = self.loop.time()
-        return now + min(expected_s, admitted.deadline - now) <= self._abort_at
+        return schedule.may_start(self.loop.time(), expected_s, admitted.deadline)
 
     def _startup_retry_after(self) -> str:
         """The Retry-After value in seconds, from the expected end of the startup."""
@@ -319,31 +297,20 @@
         self, client: RequestConnection, admitted: Admitted, tenant: Tenant | None, tokens: float | None
     ) -> RequestOwner | None:
         if tenant is None or not tenant.limited:
-            return self._start_flow(client, admitted)
-        pending = _PendingAdmission(admitted)
-        name = tenant.name
-
-        def on_quota_decision(retry_after: float | None) -> None:
-            if pending.closed:
-                return
-            if retry_after is None:
-                pending.flow = self._start_flow(client, admitted)
-                client.owner = pending.flow
-            else:
-                pending.closed = True
-                self.metrics.record_outcome(admitted.route.name, name, Outcome.OVER_QUOTA)
-                client.send_response(429, {"Retry-After": f"{retry_after:.3f}"}, b"")
-
+            return self.start_flow(client, admitted)
+        pending = PendingAdmission(client, admitted, self)
         urgent = admitted.route.priority <= self._most_urgent_priority()
-        self.tenant_quotas.take(tenant, tenant.cost(tokens), urgent, on_quota_decision)
-        if pending.closed:
-            return None
-        return pending.flow or pending
+        self.tenant_quotas.take(tenant, tenant.cost(tokens), urgent, pending.decide)
+        return pending.flow if pending.decided else pending
 
     def _most_urgent_priority(self) -> int:
         return self.routing_table.most_urgent_priority if self.routing_table is not None else 0
 
-    def _start_flow(self, client: RequestConnection, admitted: Admitted) -> RequestFlow | None:
+    def start_flow(self, client: RequestConnection, admitted: Admitted) -> RequestFlow | None:
+        """Starts a request that may run now, or answers it and returns None."""
+        if not self.may_start(admitted):  # it may have waited for quota since
+            _refuse_while_draining(client)
+            return None
         name = self._choose_backend(admitted.route, admitted.message)
         pools = self.worker_pools.get(name)
         if pools is None:
@@ -406,22 +373,8 @@
         super().buffer_updated(nbytes)
 
 
-class _PendingAdmission:
-    """The owner of a request that waits for quota tokens."""
-
-    progress = Progress.AWAITING_QUOTA
-
-    def __init__(self, admitted: Admitted) -> None:
-        self.admitted = admitted
-        self.closed = False
-        self.flow: RequestFlow | None = None
-
-    def client_gone(self) -> None:
-        """Drops the request: the client disconnected before it was started."""
-        self.closed = True
-
-    def client_write_paused(self, paused: bool) -> None:
-        """Does nothing: no response is being written yet."""
+def _refuse_while_draining(client: RequestConnection) -> None:
+    client.send_response(503, {"Retry-After": f"{DRAIN_RETRY_AFTER_S:.3f}"}, b"")
 
 
 def _parser_limits(limits: ClientLimits) -> Limits:
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -63,6 +63,7 @@
         self.fleet, self.name, self.backend, self.state = fleet, name, backend, "ready"
         self.requests: list[tuple[str, dict[str, str], bytes]] = []
         self.event_pause_s = 0.0
+        self.work_s = 0.0  # before a plain answer
         worker = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -97,6 +98,7 @@
         if "/stream/" in handler.path:
             self._stream(handler, int(headers.get("last-event-id", "0")))
             return
+        time.sleep(self.work_s)
         answer = b"served by " + self.name.encode()
         handler.send_header("Content-Length", str(len(answer)))
         handler.end_headers()
--- a/tests/cluster/flow_harness.py
+++ b/tests/cluster/flow_harness.py
@@ -150,8 +150,10 @@
 class RouterState:
     """A router state in which every worker is in service, unless it answered 421."""
 
-    def __init__(self) -> None:
+    def __init__(self, revision: int = 1) -> None:
         self.mismatched: list[str] = []
+        self.starts = True  # whether requests may start
+        self._revision = revision
 
     def may_use(self, instance: Instance) -> bool:
         return True
@@ -163,7 +165,10 @@
         return 1
 
     def revision(self) -> int:
-        return 1
+        return self._revision
+
+    def may_start(self, admitted: Admitted) -> bool:
+        return self.starts
 
 
 class FlowHarness:
--- a/tests/cluster/test_flow.py
+++ b/tests/cluster/test_flow.py
@@ -26,6 +26,7 @@
 from pebbledrift.router.upstream import WorkerConnectionPool
 from rig.fleet import example_config
 from spoolpier.interface import OutcomeKind
+from tests.cluster.flow_harness import RouterState
 
 WAIT_S = 5.0
 REQUEST_NAME = "r-1"
@@ -71,21 +72,15 @@
         self.reported.set()
 
 
-class State:
-    """A router state in which every worker is in service."""
+REVISION = 7
 
-    def may_use(self, instance: Instance) -> bool:
-        return True
+
+class State(RouterState):
+    """A router state in which every worker is in service; none may answer 421."""
 
     def instance_mismatch(self, instance: Instance) -> None:
         raise AssertionError("unexpected instance mismatch")
 
-    def routers(self) -> int:
-        return 1
-
-    def revision(self) -> int:
-        return 7
-
 
 class Scenario:
     """A client, a request flow and a worker that follows a script."""
@@ -137,7 +132,7 @@
         )
         decisions = cast(Any, self.decisions)
         budget = RetryBudget(0.2, 10.0, 60.0)
-        self.flow = RequestFlow(request, client, decisions, self.pool, budget, State(), self.metrics)
+        self.flow = RequestFlow(request, client, decisions, self.pool, budget, State(REVISION), self.metrics)
         asyncio.get_running_loop().call_soon(self.flow.send, 0, self.instance)
         return self.flow
 
