Servers: a connection whose response is not read yet is the last to make room for a new one

A connection counts as idle once its response is in the write buffer; where all places were in use, the one that had been idle for longest was aborted, and with it the rest of a response that its caller was still reading. Routers and the control interface choose by the same function.

Connections with unread responses now come last; they stay replaceable, so that callers that never read cannot take all places.

test_a_response_that_is_not_read_yet_outlasts_idle_connections failed before.

--- a/pebbledrift/net/request_server.py
+++ b/pebbledrift/net/request_server.py
@@ -48,10 +48,13 @@
 def longest_without_request(connections: Iterable[RequestConnection], count: int) -> list[RequestConnection]:
     """Returns up to `count` connections to close if there are too many, none with a request in progress.
 
-    First come those that are about to be closed anyway, then those without a request for longest.
+    First come those whose peers have read all responses; among them, those that are about to be closed
+    anyway, then those without a request for longest.
     """
     replaceable = (connection for connection in connections if connection.alive and not connection.busy)
-    return heapq.nsmallest(count, replaceable, key=lambda other: (not other.ending, other.state_since))
+    return heapq.nsmallest(
+        count, replaceable, key=lambda other: (other.unsent_bytes > 0, not other.ending, other.state_since)
+    )
 
 
 class RequestServer:
--- a/tests/cluster/test_control_server.py
+++ b/tests/cluster/test_control_server.py
@@ -149,6 +149,26 @@
     run(scenario)
 
 
+def test_a_response_that_is_not_read_yet_outlasts_idle_connections(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a response that is dropped because its connection has been idle for longest."""
+    limit(monkeypatch, max_connections=3)
+
+    async def scenario(interface: Interface) -> None:
+        interface.backend.config = LARGE_CONFIG
+        reader, _ = await interface.connect(READ, receive_buffer=4096)
+        await wait_until(lambda: "200" in interface.metrics.status()["answers"].get("read", {}))
+        for _ in range(2):
+            await interface.connect()
+        await wait_until(lambda: interface.metrics.status()["connections"] == 3)
+        interface.backend.config = {"revision": 8}
+        assert (await interface.call(READ)).startswith("HTTP/1.1 200")
+        text = await head(reader)
+        length = int(text.lower().partition("content-length: ")[2].partition("\r\n")[0])
+        assert len(await reader.readexactly(length)) > len(LARGE_CONFIG["filling"])  # type: ignore[arg-type]
+
+    run(scenario)
+
+
 def test_a_caller_beyond_the_connections_in_use_is_answered_503(monkeypatch: pytest.MonkeyPatch) -> None:
     limit(monkeypatch, max_connections=2)
 
