--- a/pebbledrift/net/request_server.py
+++ b/pebbledrift/net/request_server.py
@@ -95,14 +95,19 @@
         return host, port
 
     async def close(self, grace_s: float) -> None:
-        """Stops accepting, waits up to `grace_s` for the requests in progress, and closes all connections."""
+        """Stops accepting, and closes all connections.
+
+        Requests in progress, and responses that their peers have not read, have up to `grace_s` seconds.
+        """
         self.draining = True
         if self._server is not None:
             self._server.close()
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
         close_at = self._loop.time() + grace_s
-        while any(connection.busy for connection in self.connections) and self._loop.time() < close_at:
+        while self._loop.time() < close_at and any(
+            connection.busy or connection.unsent_bytes for connection in self.connections
+        ):
             await asyncio.sleep(CLOSE_POLL_S)
         for connection in list(self.connections):
             connection.close()
--- a/tests/cluster/test_control_server.py
+++ b/tests/cluster/test_control_server.py
@@ -331,6 +331,24 @@
     run(scenario)
 
 
+def test_a_response_that_is_being_read_is_flushed_when_the_interface_closes() -> None:
+    """Guards against a process that ends while the rest of a response is in its write buffer."""
+
+    async def scenario(interface: Interface) -> None:
+        interface.backend.config = LARGE_CONFIG
+        reader, _ = await interface.connect(READ, receive_buffer=4096)
+        await wait_until(lambda: "200" in interface.metrics.status()["answers"].get("read", {}))
+        closing = asyncio.get_running_loop().create_task(interface.server.close())
+        for _ in range(5):
+            await asyncio.sleep(0)
+        assert not closing.done()
+        await head(reader)
+        assert len(await reader.read()) > len(LARGE_CONFIG["filling"])  # type: ignore[arg-type]
+        await closing
+
+    run(scenario)
+
+
 def test_a_control_port_that_is_in_use_is_bound_once_it_is_free() -> None:
     """Guards against a keeper that runs without a control interface, as its port was taken at the start."""
 
