--- a/pebbledrift/console/explain.py
+++ b/pebbledrift/console/explain.py
@@ -12,9 +12,8 @@
 from pebbledrift.router.placement import stable_number
 from pebbledrift.router.request import parse_parts, routing_key
 from pebbledrift.router.routes import Route, RoutingTable
-from spoolpier.hashing import mix
+from spoolpier.hashing import mix, top_ranked
 from spoolpier.records import record
-from spoolpier.workers import top_ranked
 
 MAX_WORKERS = 12
 
--- a/pebbledrift/router/placement.py
+++ b/pebbledrift/router/placement.py
@@ -10,19 +10,19 @@
 import asyncio
 import hashlib
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass
 from typing import Protocol
 
 from pebbledrift.control.registry import Instance, InstanceState
+from pebbledrift.router.job_classes import JobClassRegistry, job_class_of
 from pebbledrift.router.routes import Route
 from spoolpier import interface as api
 from spoolpier.dispatcher import Dispatcher
 
 log = logging.getLogger(__name__)
 
-MAX_CLASSES = 4096  # job classes of one service; requests beyond these use the fallback class
-FALLBACK_CLASS = api.JobClass(aim_ms=1000.0, deadline_ms=1000.0)
+MAX_ATTEMPTS = 4  # of a request, with those that a worker declined
 RETRY_AFTER_MS = 100.0
 
 
@@ -47,6 +47,7 @@
     """A request, and how many attempts were started for it."""
 
     request: PlacedRequest
+    job_class: api.JobClass
     attempts: int = 0
 
 
@@ -61,17 +62,17 @@
     ) -> None:
         self._loop = asyncio.get_running_loop()
         settings = api.Settings(
-            classes=(FALLBACK_CLASS,),
+            classes=(),
             dispatchers=max(dispatchers, dispatcher_index + 1),
             me=dispatcher_index,
-            max_attempts=4,
+            max_attempts=MAX_ATTEMPTS,
             may_cancel=True,
             tells_start=is_model,
             max_retry_after_ms=RETRY_AFTER_MS,
             first_limit=max(1.0, first_limit),
         )
         self._dispatcher = Dispatcher(settings, seed)
-        self._classes: dict[api.JobClass, int] = {FALLBACK_CLASS: 0}
+        self._classes = JobClassRegistry(self.enqueue)
         self._worker_numbers: dict[str, int] = {}
         self._instances: dict[int, Instance] = {}
         self._jobs: dict[str, _Job] = {}
@@ -184,26 +185,13 @@
         `name` identifies it within this process, `key` is its routing key, and `left_ms` is the time until
         its deadline.
         """
-        self._jobs[name] = _Job(request)
-        self.enqueue(api.Arrival(name, self._class_of(route), grace_ms=left_ms, key=key))
-
-    def _class_of(self, route: Route) -> int:
-        """Returns the index of the route's job class, and registers a new class with the dispatcher."""
-        job_class = api.JobClass(
-            aim_ms=route.target_latency_ms,
-            deadline_ms=max(1.0, route.timeout_ms),
-            effect=api.Effect.SAFE if route.idempotent else api.Effect.UNSAFE,
-            priority=route.priority,
-            streamed=route.streaming,
-            max_runs=route.max_attempts,
-        )
-        number = self._classes.get(job_class)
-        if number is None:
-            if len(self._classes) >= MAX_CLASSES:
-                return 0
-            number = self._classes[job_class] = len(self._classes)
-            self.enqueue(api.ClassesAdded((job_class,)))
-        return number
+        job_class = job_class_of(route)
+        self._jobs[name] = _Job(request, job_class)
+        self.enqueue(api.Arrival(name, self._classes.open(job_class), grace_ms=left_ms, key=key))
+
+    def retain_classes(self, in_force: Set[api.JobClass]) -> None:
+        """Forget the job classes that no route in force has, once no request of theirs is open."""
+        self._classes.retain(in_force)
 
     def attempt_started(self, name: str, attempt: int, instance: Instance, streamed: bool) -> None:
         """Report that the first event of an answer, or a whole answer, was received."""
@@ -232,8 +220,10 @@
         self.enqueue(api.ClientGone(name))
 
     def remove(self, name: str) -> None:
-        """Remove a request that has its final answer."""
-        self._jobs.pop(name, None)
+        """Remove a request that has its final answer, after the ends of its attempts were reported."""
+        job = self._jobs.pop(name, None)
+        if job is not None:
+            self._classes.close(job.job_class)
 
 
 def stable_number(instance: str) -> int:
--- a/pebbledrift/router/pools.py
+++ b/pebbledrift/router/pools.py
@@ -10,10 +10,11 @@
 import asyncio
 import hashlib
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 
 from pebbledrift.control.registry import Instance, InstanceState
 from pebbledrift.router.placement import Placement
+from spoolpier.interface import JobClass
 
 SHORT_PROMPT_TOKENS = 1024  # processed in about the time of one step, so it delays no other request
 INITIAL_LIMIT_FACTOR = 1.5  # initial limit per worker for short prompts, relative to slots / routers
@@ -79,6 +80,11 @@
         """Sets how many requests a worker runs at once; the next division uses it."""
         self._slots = max(1, slots)
 
+    def retain_classes(self, in_force: Set[JobClass]) -> None:
+        """Forgets the job classes of routes that the configuration no longer has."""
+        for placement in {self.short, self.long}:
+            placement.retain_classes(in_force)
+
     def choose(self, prompt_tokens: float | None) -> Placement:
         """Returns the placement for a request by its prompt length; an unknown one (None) counts as long."""
         if not self._is_model:
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -23,6 +23,7 @@
 from pebbledrift.router.control import ControlLinks
 from pebbledrift.router.draining import Drain, DrainSchedule
 from pebbledrift.router.flow import DRAIN_RETRY_AFTER_S, RequestFlow
+from pebbledrift.router.job_classes import job_class_of
 from pebbledrift.router.metrics import RouterMetrics
 from pebbledrift.router.pending_admission import PendingAdmission
 from pebbledrift.router.placement import Placement
@@ -163,8 +164,8 @@
         self.routing_table = table = RoutingTable(config)
         self.parser_limits = _parser_limits(table.limits)
         self.tenant_quotas.configure(table.tenants.values())
-        routes = (route.name for routes in table.routes.values() for route in routes)
-        self.metrics.retain(routes, table.tenants)
+        routes = [route for routes in table.routes.values() for route in routes]
+        self.metrics.retain((route.name for route in routes), table.tenants)
         bounds = self.boot.bounds
         for name, backend in table.backends.items():
             if name in self.worker_pools:
@@ -174,6 +175,9 @@
             self.retry_budgets[name] = RetryBudget(
                 bounds.retry_budget_ratio, bounds.budget_window_s, bounds.retry_budget_slack
             )
+        job_classes = frozenset(map(job_class_of, routes))
+        for pools in self.worker_pools.values():
+            pools.retain_classes(job_classes)
         self.instances_changed()
 
     def _create_worker_pools(self, backend: Backend) -> WorkerPools:
--- a/spoolpier/dispatcher.py
+++ b/spoolpier/dispatcher.py
@@ -23,10 +23,11 @@
     RETRY_MS,
     START_LATE_MS,
 )
+from spoolpier.hashing import top_ranked
 from spoolpier.ledger import JobLedger
 from spoolpier.signatures import SignatureIndex
 from spoolpier.state import Job, Worker
-from spoolpier.workers import WorkerTable, top_ranked
+from spoolpier.workers import WorkerTable
 
 MATCH_BENEFIT = 1.0  # benefit of a remembered key; the paper's overlap, all or nothing here
 BASE_BENEFIT = 0.2  # benefit of any free worker, so that a job without a match still has a rank
@@ -59,8 +60,7 @@
         self.now = NEVER
         self.expiries: list[tuple[float, int, Job]] = []  # heap by the time when a held job is given up
         self.holds = 0  # breaks ties in the heap
-        self.max_grace_ms = [0.0] * len(settings.classes)  # longest grace seen, by job class
-        self.wake_at, self.late_worth = FOREVER, any(k.late_worth for k in settings.classes)
+        self.wake_at = FOREVER
         self.next_lost_check = NEVER
         self.allowances: dict[int, api.Allowance] = {}  # by limit of all dispatchers
         self.subscribed, self.subscribe_at = False, NEVER if settings.ask_for_list else FOREVER
@@ -70,7 +70,8 @@
             **{api.Note: self.on_note, api.WorkerList: self.on_list, api.Shares: self.on_shares},
             **{api.ClientGone: self.on_client_gone, api.StreamStarted: self.on_stream},
             **{api.Verdict: self.on_verdict, api.Allowance: self.on_allowance},
-            **{api.CommonClock: self.on_clock, api.ClassesAdded: self.on_classes},
+            **{api.CommonClock: self.on_clock},
+            **{api.ClassAdded: self.on_class_added, api.ClassRemoved: self.on_class_removed},
         }
 
     def step(self, now_ms: float, events: Iterable[api.Event]) -> list[api.Action]:
@@ -116,10 +117,8 @@
         """Accept a job, or give it up at once if a limit is used up."""
         if event.job in self.ledger.jobs:
             raise ValueError(f"job id given twice: {event.job}")
-        spec = self.settings.classes[event.job_class]
-        self.max_grace_ms[event.job_class] = max(self.max_grace_ms[event.job_class], event.grace_ms)
-        # A client's retry has less grace left than its first try: its aim has been running meanwhile.
-        lost_ms = self.max_grace_ms[event.job_class] - event.grace_ms
+        spec = self.table.classes.specs[event.job_class]
+        lost_ms = self.table.classes.lost_grace_ms(event.job_class, event.grace_ms)
         lost_ms += min(self.table.overhead, MAX_OVERHEAD_SHARE * spec.aim_ms)
         hint_ms = event.hint_ms or 0.0
         lost_ms += min(
@@ -258,12 +257,13 @@
             table.no_time_slice_before, table.time_slice = self.now + 2 * self.settings.fall_ms, -1
         table.ahead_ms = event.ahead_ms
 
-    def on_classes(self, event: api.ClassesAdded) -> None:
-        """Append further job classes to the settings."""
-        classes = (*self.settings.classes, *event.classes)
-        self.settings = self.table.settings = self.ledger.settings = replace(self.settings, classes=classes)
-        self.max_grace_ms += [0.0] * len(event.classes)
-        self.late_worth = any(k.late_worth for k in classes)
+    def on_class_added(self, event: api.ClassAdded) -> None:
+        """Add a job class. Raises ValueError if its number is taken."""
+        self.table.classes.add(event.number, event.job_class)
+
+    def on_class_removed(self, event: api.ClassRemoved) -> None:
+        """Forget a job class, and what was learned of it."""
+        self.table.forget_class(event.number)
 
     def on_verdict(self, event: api.Verdict) -> None:
         """Apply the common verdict on a worker. A worker that is readmitted counts as new."""
@@ -297,7 +297,7 @@
 
     def send_held_jobs(self) -> None:
         """Send held jobs to free workers, the highest rank first."""
-        overload = len(self.held) > len(self.ledger.in_flight) and not self.late_worth
+        overload = len(self.held) > len(self.ledger.in_flight) and not self.table.classes.late_worth
         failed, self.table.quantile = 0, OVERLOAD_QUANTILE if overload else OVERHEAD_QUANTILE
         for job in self.due_jobs():
             if failed >= MAX_FAILED_SEARCHES:
--- a/spoolpier/handover.py
+++ b/spoolpier/handover.py
@@ -85,7 +85,7 @@
 def import_job(dispatcher: Dispatcher, event: api.Arrival, data: dict[str, Any]) -> None:
     """Accept a job that another process has sent as if this dispatcher had sent it: all rules still apply."""
     table, ledger = dispatcher.table, dispatcher.ledger
-    spec = dispatcher.settings.classes[event.job_class]
+    spec = table.classes.specs[event.job_class]
     lost_ms = max(0.0, spec.deadline_ms - event.grace_ms)  # the aim has been running meanwhile
     job = Job(event, spec, dispatcher.now, dispatcher.settings.tick_ms, lost_ms)
     job.attempts, job.excluded_workers = int(data["attempts"]), set(data["barred"])
--- a/spoolpier/interface.py
+++ b/spoolpier/interface.py
@@ -104,7 +104,7 @@
 class Settings:
     """Settings of a dispatcher, passed once at its start."""
 
-    classes: tuple[JobClass, ...]
+    classes: tuple[JobClass, ...]  # further ones come as ClassAdded
     dispatchers: int = 1
     me: int = 0
     zone: int = 0
@@ -143,8 +143,6 @@
 
     def __post_init__(self) -> None:
         """Raise ValueError for unusable settings; the message names the invalid one."""
-        if not self.classes:
-            raise ValueError("classes: at least one is needed")
         for job_class in self.classes:
             if not job_class.deadline_ms > 0:
                 raise ValueError(f"classes: deadline_ms must be above 0, not {job_class.deadline_ms}")
@@ -315,10 +313,18 @@
 
 
 @record
-class ClassesAdded:
-    """Further job classes, numbered after the existing ones."""
+class ClassAdded:
+    """A further job class, under a number that no class has had before."""
 
-    classes: tuple[JobClass, ...]
+    number: int
+    job_class: JobClass
+
+
+@record
+class ClassRemoved:
+    """A job class that gets no further jobs. Its open jobs go on; what was learned of it is forgotten."""
+
+    number: int
 
 
 @record
@@ -354,7 +360,8 @@
     | CommonClock
     | Verdict
     | Allowance
-    | ClassesAdded
+    | ClassAdded
+    | ClassRemoved
     | ClientGone
     | Timer
     | PeerMessage
--- a/spoolpier/settings.py
+++ b/spoolpier/settings.py
@@ -102,6 +102,8 @@
                 streamed=bool(entry.get("streamed", False)),
             )
         )
+    if not classes:
+        raise ValueError("classes: at least one is needed")
     # an unknown mode is an error: taken for another one, no change of the list would be received
     ask_for_list = choice({"discovery": "push", **env}, "discovery", {"ask": True, "push": False})
     retry_after = (
--- a/spoolpier/workers.py
+++ b/spoolpier/workers.py
@@ -6,20 +6,18 @@
 from __future__ import annotations
 
 import math
-from typing import Protocol, TypeVar
 
 from spoolpier import interface as api
 from spoolpier.constants import (
     EXTRA_WORKERS,
     FOREVER,
-    GOLDEN_GAMMA,
     LIMIT_STEP,
-    MASK_64,
     NEVER,
     OVERHEAD_QUANTILE,
     START_LATE_MS,
 )
-from spoolpier.hashing import mix
+from spoolpier.hashing import mix, top_ranked
+from spoolpier.job_classes import JobClasses
 from spoolpier.state import Attempt, Job, Worker
 
 ORDER_SIZE = 12  # workers kept of a key's rendezvous order: if twelve are all busy, so is the fleet
@@ -55,6 +53,7 @@
 
     def __init__(self, settings: api.Settings) -> None:
         self.settings = settings
+        self.classes = JobClasses(settings.classes)
         self.workers: dict[int, Worker] = {}
         self.departed: dict[int, float] = {}  # workers that are not up, and since when, oldest first
         self.forget_ms = max(FORGET_MS, 2 * settings.fall_ms)
@@ -117,6 +116,15 @@
         self.time_slice = -1
         return gone
 
+    def forget_class(self, number: int) -> None:
+        """Forget a job class, and which workers failed it."""
+        self.classes.remove(number)
+        for w in self.workers.values():
+            w.strikes.pop(number, None)
+            w.failed_until.pop(number, None)
+        self.excluded = {(worker, job_class) for worker, job_class in self.excluded if job_class != number}
+        self.ranks = {key: rank for key, rank in self.ranks.items() if key[1] != number}
+
     def add(self, worker: int, now: float) -> Worker:
         """Add a worker that is seen for the first time; it is not up yet."""
         w = self.workers[worker] = Worker(worker, mix(worker))
@@ -336,7 +344,8 @@
         """
         w, job_class = a.worker, a.job.job_class
         answer_lost = a.started and w.last_received_at > a.last_received_at
-        if not answer_lost and now >= w.failed_until.get(job_class, NEVER):
+        known = job_class in self.classes  # a class may be removed while its last attempt is open
+        if known and not answer_lost and now >= w.failed_until.get(job_class, NEVER):
             strikes = w.strikes.get(job_class, 0)
             w.limit = 1.0 if strikes else max(1.0, w.limit - LIMIT_STEP)
             w.failed_until[job_class] = now + avoidance_ms(strikes)
@@ -372,29 +381,3 @@
     group = job.spec.group
     near = w.zone == anchor.zone if group is api.Group.ZONE else w.cell == anchor.cell
     return near or group is api.Group.ALL
-
-
-class Hashed(Protocol):
-    """An object that rendezvous hashing can rank."""
-
-    @property
-    def id(self) -> int:
-        """Number that breaks ties."""
-
-    @property
-    def hash(self) -> int:
-        """64-bit hash."""
-
-
-Ranked = TypeVar("Ranked", bound=Hashed)
-
-
-def top_ranked(pool: list[Ranked], key_hash: int, count: int) -> list[Ranked]:
-    """Return the `count` members of a pool with the highest rendezvous scores for a key, best first."""
-    # Scores are uniform over 64 bits: only the likely members of a large pool are kept and sorted.
-    min_score = 0 if len(pool) <= 3 * count else MASK_64 - MASK_64 * 2 * count // len(pool)
-    scored = [(s, w.id, w) for w in pool if (s := (w.hash ^ key_hash) * GOLDEN_GAMMA & MASK_64) > min_score]
-    if len(scored) < min(count, len(pool)):
-        scored = [((w.hash ^ key_hash) * GOLDEN_GAMMA & MASK_64, w.id, w) for w in pool]
-    scored.sort(reverse=True)
-    return [w for _, _, w in scored[:count]]
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -57,6 +57,7 @@
         "signatures",
         "state",
         "hashing",
+        "job_classes",
         "interface",
         "records",
     } <= names
