Router: each route's run times are its own, however many routes there are

On the text before 1,025 of 2,048 routes had run times of their own, one of them for all the rest.

They are kept by route now, as many as the configuration has. Metrics stay bounded: those only count.

--- a/pebbledrift/router/flow.py
+++ b/pebbledrift/router/flow.py
@@ -357,7 +357,8 @@
 
     def _record_run_time(self) -> None:
         admitted = self.admitted
-        self._route_metrics.run_times.record(admitted.output_tokens, self._loop.time() - admitted.arrived)
+        run_times = self._metrics.run_times.of(admitted.route.name)
+        run_times.record(admitted.output_tokens, self._loop.time() - admitted.arrived)
 
     def stream_complete(self, attempt: Attempt) -> None:
         """Handles the end of a stream; one that ends in the middle of an event is broken."""
--- a/pebbledrift/router/metrics.py
+++ b/pebbledrift/router/metrics.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from bisect import bisect_left
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from enum import Enum
 
 from pebbledrift.router.cuts import CutCounts
-from pebbledrift.router.run_times import RunTimes
+from pebbledrift.router.run_times import RunTimesByRoute
 
 BUCKET_LIMITS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0)
 MAX_NAMES = 1024  # routes or tenants with separate counters; all others are counted under OTHER
@@ -43,13 +43,12 @@
 class RouteMetrics:
     """The metrics of one route."""
 
-    __slots__ = ("first", "outcomes", "pauses", "run_times", "waits")
+    __slots__ = ("first", "outcomes", "pauses", "waits")
 
     def __init__(self) -> None:
         self.outcomes: dict[Outcome, int] = dict.fromkeys(Outcome, 0)
         self.waits = Histogram()  # from the last byte of a request to its first send
         self.first = Histogram()  # from the first send to the first event or the whole answer
-        self.run_times = RunTimes()
         self.pauses = Histogram()  # between forwarded parts of a stream
 
 
@@ -59,11 +58,13 @@
     def __init__(self) -> None:
         self.routes: dict[str, RouteMetrics] = {}
         self.tenants: dict[str, dict[Outcome, int]] = {}
+        self.run_times = RunTimesByRoute()  # decides on requests, and is therefore not limited to MAX_NAMES
         self.cuts = CutCounts()
         self.incomplete_events = 0  # attempts that ended within an event of their stream
 
-    def retain(self, routes: Iterable[str], tenants: Iterable[str]) -> None:
+    def retain(self, routes: Set[str], tenants: Iterable[str]) -> None:
         """Drop the metrics of all routes and tenants that a new configuration does not name."""
+        self.run_times.retain(routes)
         kept_routes, kept_tenants = {*routes, OTHER}, {*tenants, OTHER, NO_TENANT}
         self.routes = {name: metrics for name, metrics in self.routes.items() if name in kept_routes}
         self.tenants = {name: counts for name, counts in self.tenants.items() if name in kept_tenants}
--- a/pebbledrift/router/run_times.py
+++ b/pebbledrift/router/run_times.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from collections.abc import Set
 
 MAX_SAMPLES = 64
 MIN_SAMPLES = 16  # with fewer samples the slowest one is not a reliable bound
@@ -29,6 +30,21 @@
         return MARGIN * max(self._paces) * _effective_tokens(tokens)
 
 
+class RunTimesByRoute:
+    """The run times of each route of the configuration, by its name."""
+
+    def __init__(self) -> None:
+        self._routes: dict[str, RunTimes] = {}
+
+    def of(self, route: str) -> RunTimes:
+        """The run times of a route."""
+        return self._routes.setdefault(route, RunTimes())
+
+    def retain(self, routes: Set[str]) -> None:
+        """Drop the run times of all routes that a new configuration does not name."""
+        self._routes = {name: times for name, times in self._routes.items() if name in routes}
+
+
 def _effective_tokens(tokens: float | None) -> float:
     """Returns the declared tokens, or 1: requests that declare none are assumed to be equally long."""
     return max(1.0, tokens or 0.0)
--- a/pebbledrift/router/service.py
+++ b/pebbledrift/router/service.py
@@ -165,7 +165,7 @@
         self.parser_limits = _parser_limits(table.limits)
         self.tenant_quotas.configure(table.tenants.values())
         routes = [route for routes in table.routes.values() for route in routes]
-        self.metrics.retain((route.name for route in routes), table.tenants)
+        self.metrics.retain({route.name for route in routes}, table.tenants)
         bounds = self.boot.bounds
         for name, backend in table.backends.items():
             if name in self.worker_pools:
@@ -285,7 +285,7 @@
         schedule = self._drain_schedule
         if schedule is None:
             return True
-        expected_s = self.metrics.of_route(admitted.route.name).run_times.estimate(admitted.output_tokens)
+        expected_s = self.metrics.run_times.of(admitted.route.name).estimate(admitted.output_tokens)
         return schedule.may_start(self.loop.time(), expected_s, admitted.deadline)
 
     def _startup_retry_after(self) -> str:
--- a/tests/cluster/test_metrics.py
+++ b/tests/cluster/test_metrics.py
@@ -80,7 +80,7 @@
         metrics.record_outcome(f"route-{number}", f"tenant-{number}", Outcome.SERVED)
     assert len(metrics.routes) <= MAX_NAMES + 1 and len(metrics.tenants) <= MAX_NAMES + 1
     assert metrics.routes[OTHER].outcomes[Outcome.SERVED] == 50
-    metrics.retain(["route-3"], ["tenant-4"])
+    metrics.retain({"route-3"}, ["tenant-4"])
     assert set(metrics.routes) == {"route-3", OTHER} and set(metrics.tenants) == {"tenant-4", OTHER}
 
 
