Dispatcher: a route that allows more than four attempts gets them

The number of its own class counts now where it is larger; the retry budget bounds repeated sends as before.

test_a_route_may_allow_more_attempts_than_is_usual failed before (4 of 6).

--- a/pebbledrift/router/placement.py
+++ b/pebbledrift/router/placement.py
@@ -22,7 +22,7 @@
 
 log = logging.getLogger(__name__)
 
-MAX_ATTEMPTS = 4  # of a request, with those that a worker declined
+MAX_ATTEMPTS = 4  # of a request, with those that a worker declined, unless its route allows more
 RETRY_AFTER_MS = 100.0
 
 
--- a/spoolpier/dispatcher.py
+++ b/spoolpier/dispatcher.py
@@ -154,7 +154,7 @@
         if job is None or job.has_open_attempt:
             return
         retry = not job.possible_runs or job.spec.effect is not api.Effect.UNSAFE
-        retry &= self.now < job.useful_until and job.attempts < self.settings.max_attempts
+        retry &= self.now < job.useful_until and job.attempts < self.ledger.max_attempts(job)
         retry &= not 0 < job.spec.max_runs <= len(job.possible_runs)
         if retry and self.use_allowances((api.RETRY_LIMIT,)):
             self.hold(job)
--- a/spoolpier/interface.py
+++ b/spoolpier/interface.py
@@ -89,7 +89,8 @@
     kind: int = -1
     priority: int = 0
     streamed: bool = False
-    max_runs: int = 0  # maximum attempts of a job that may have run; 0: limited by max_attempts only
+    # maximum attempts of a job that may have run, which also raises max_attempts; 0: limited by that only
+    max_runs: int = 0
 
 
 @record
--- a/spoolpier/ledger.py
+++ b/spoolpier/ledger.py
@@ -28,7 +28,7 @@
 
     def may_send(self, job: Job, w: Worker, now: float) -> bool:
         """Return whether rules 1 and 2 allow another attempt of the job on this worker."""
-        if job.id not in self.jobs or job.attempts >= self.settings.max_attempts or now >= job.expires_at:
+        if job.id not in self.jobs or job.attempts >= self.max_attempts(job) or now >= job.expires_at:
             return False
         if not job.possible_runs:
             return True
@@ -40,6 +40,10 @@
             return True
         return in_group(job, job.possible_runs[0].worker, w) and now < self.repeat_deadline(job)
 
+    def max_attempts(self, job: Job) -> int:
+        """Return how often a job may be sent, with the attempts that a worker declined."""
+        return max(self.settings.max_attempts, job.spec.max_runs)
+
     def repeat_deadline(self, job: Job) -> float:
         """Return until when a repeat may be sent: workers forget a key after the class's window.
 
--- a/tests/cluster/test_job_classes.py
+++ b/tests/cluster/test_job_classes.py
@@ -100,6 +100,14 @@
     run_with_placement(scenario)
 
 
+def test_a_route_may_allow_more_attempts_than_is_usual() -> None:
+    async def scenario(placement: Placement) -> None:
+        request = await run_request(placement, "r", safe_route(LEFT_MS, WORKERS))
+        assert len({instance.id for instance in request.attempts}) == len(request.attempts) == WORKERS
+
+    run_with_placement(scenario)
+
+
 class Recorder:
     """The events that a registry passes on, and the classes that a dispatcher then knows."""
 
