--- a/pebbledrift/control/registry.py
+++ b/pebbledrift/control/registry.py
@@ -1,14 +1,21 @@
-"""Registry of worker instances: the newest heartbeat of an instance wins, and an ended one stays ended."""
+"""Registry of worker instances: the newest heartbeat of an instance wins, and an ended one stays ended.
+
+An instance *expires* when it has not been heard for long: that says nothing of the instance if its heartbeats
+did not get here, so a newer heartbeat of it brings it back, and nobody else is told. It *ends* when it
+deregisters, or expires after it has said that it drains: that is final, and passed on.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import replace
 from enum import IntEnum
 from typing import Any
 
 from pebbledrift.cluster.codec import message
 
 MAX_GONE_INSTANCES = 4096  # ended instances remembered; the oldest are dropped first
+MAX_EXPIRED_INSTANCES = 4096  # expired instances remembered; the oldest are dropped first
 MAX_INSTANCES = 4096  # instances in service or draining
 MAX_GONE_IN_SNAPSHOT = 256  # most recently ended instances in a snapshot
 
@@ -94,6 +101,7 @@
         self.instances: dict[str, Instance] = {}
         self.last_heartbeat_at: dict[str, float] = {}
         self._gone: dict[str, None] = {}  # ids of ended instances, oldest first
+        self._expired: dict[str, Instance] = {}  # as they were last heard, oldest first
 
     def merge(self, reported: Instance, now: float) -> Instance | None:
         """Merge an instance reported by a worker or another keeper.
@@ -110,9 +118,14 @@
             return None
         if existing is not None and reported.sequence < existing.sequence:
             return None
+        expired = self._expired.get(reported.id)
+        # without numbers (0) each heartbeat may be a newer one
+        if expired is not None and expired.sequence and reported.sequence <= expired.sequence:
+            return None
+        self._expired.pop(reported.id, None)
         self.last_heartbeat_at[reported.id] = now
         state = reported.state if existing is None else max(existing.state, reported.state)
-        merged = reported if state == reported.state else _with_state(reported, state)
+        merged = reported if state == reported.state else replace(reported, state=state)
         self.instances[reported.id] = merged
         return merged if existing is None or _differs(existing, merged) else None
 
@@ -120,6 +133,7 @@
         """Remove an instance and remember its id as ended."""
         self.instances.pop(instance, None)
         self.last_heartbeat_at.pop(instance, None)
+        self._expired.pop(instance, None)
         self._gone[instance] = None
         while len(self._gone) > MAX_GONE_INSTANCES:
             del self._gone[next(iter(self._gone))]
@@ -132,12 +146,38 @@
         """Ids of the instances whose last heartbeat is more than `timeout_s` ago."""
         return [name for name, at in self.last_heartbeat_at.items() if now - at > timeout_s]
 
+    def postpone_expiry(self, seconds: float) -> None:
+        """Does not count the last `seconds` as silence of any instance."""
+        for name in self.last_heartbeat_at:
+            self.last_heartbeat_at[name] += seconds
+
     def expire(self, instances: Iterable[str]) -> list[Instance]:
-        """End the instances with these ids and return the entries to publish; unknown ids are ignored."""
-        ended = [gone_instance(name) for name in instances if name in self.instances]
-        for instance in ended:
-            self._end(instance.id)
-        return ended
+        """Drops the instances with these ids, and returns them as they were; unknown ids are ignored.
+
+        One that was draining has ended with that.
+        """
+        expired = [self.instances[name] for name in instances if name in self.instances]
+        for instance in expired:
+            if instance.state == InstanceState.READY:
+                self._remember_expired(instance)
+            else:
+                self._end(instance.id)
+        return expired
+
+    def _remember_expired(self, instance: Instance) -> None:
+        del self.instances[instance.id]
+        del self.last_heartbeat_at[instance.id]
+        self._expired[instance.id] = instance
+        while len(self._expired) > MAX_EXPIRED_INSTANCES:
+            del self._expired[next(iter(self._expired))]
+
+    def revive(self, instance: str, sequence: int, now: float) -> Instance | None:
+        """Brings back an expired instance that another keeper has heard, by the number of its heartbeat.
+
+        Returns the instance to publish, or None if it has not expired, or the heartbeat is no newer one.
+        """
+        expired = self._expired.get(instance)
+        return None if expired is None else self.merge(replace(expired, sequence=sequence), now)
 
     def snapshot(self) -> list[Instance]:
         """All instances and the most recently ended ones, for a peer that has no state yet."""
@@ -145,22 +185,6 @@
         return [*self.instances.values(), *(gone_instance(name) for name in recently_gone)]
 
 
-def _with_state(instance: Instance, state: int) -> Instance:
-    """A copy of an instance in another state."""
-    return Instance(
-        instance.id,
-        instance.backend,
-        instance.address,
-        instance.zone,
-        instance.revision,
-        instance.slots,
-        state,
-        instance.sequence,
-        instance.stage,
-        instance.cold_remaining_ms,
-    )
-
-
 def _differs(one: Instance, other: Instance) -> bool:
     """Whether routers would treat the two differently; a new sequence number alone is not published."""
     return (one.state, one.address, one.backend, one.slots, one.zone, one.stage) != (
--- a/pebbledrift/keeper/service.py
+++ b/pebbledrift/keeper/service.py
@@ -92,6 +92,7 @@
             store,
             self.relays.publish_instances,
             self.replica.is_quorum,
+            self.replica.current,
             self.incarnation,
         )
         self.lending = LendingService(QuotaWindow(boot.bounds.quota_window_s, boot.bounds.quota_overshoot))
--- a/pebbledrift/keeper/workers.py
+++ b/pebbledrift/keeper/workers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -18,11 +19,14 @@
     UpdateReceived,
 )
 
+log = logging.getLogger(__name__)
+
 CONFIRM_TIMEOUT_S = 0.8  # time for a majority of the keepers to confirm that a worker leaves
 CONFIRM_RETRY_S = 0.2  # interval at which the message is sent again until it is confirmed
 MAX_CONFIRMED = 4096  # remembered confirmations of leaving instances; the oldest is dropped first
 HEARTBEAT_REPORT_INTERVAL_S = 1.0
 FORGET_AFTER_S = 60.0
+MAX_REPORT_GAP_S = 3.0  # a longer time between two reports shows that this process stood still
 # In heartbeat intervals: by then each worker that sends heartbeats has sent one to some keeper.
 COMPLETE_AFTER_HEARTBEATS = 1.4
 
@@ -39,7 +43,8 @@
     """Processes worker heartbeats and passes changes on to the routers and the other keepers.
 
     `heartbeat_s` is the interval at which workers send heartbeats, in seconds. `publish` sends changed
-    instances to the routers; `reaches_quorum` returns whether keeper addresses form a majority.
+    instances to the routers; `reaches_quorum` returns whether keeper addresses form a majority; `in_touch`
+    returns whether a majority of the keepers, which pass on the heartbeats that they get, was heard lately.
     """
 
     def __init__(
@@ -49,6 +54,7 @@
         store: InstanceStore | None,
         publish: Callable[[tuple[Instance, ...]], None],
         reaches_quorum: Callable[[set[str]], bool],
+        in_touch: Callable[[float], bool],
         incarnation: int,
     ) -> None:
         self.registry = Registry()
@@ -59,8 +65,8 @@
         self._complete_at = self._loop.time() + COMPLETE_AFTER_HEARTBEATS * heartbeat_s
         self._complete = False
         self._heartbeat_sequences: dict[str, int] = {}
-        self._next_report_at = self._loop.time()
-        self._reaches_quorum = reaches_quorum
+        self._next_report_at = self._last_report_at = self._loop.time()
+        self._reaches_quorum, self._in_touch = reaches_quorum, in_touch
         self._incarnation = incarnation
         self._last_number = 0
         self._unconfirmed: dict[int, _Confirmation] = {}
@@ -195,6 +201,9 @@
             registered = self.registry.instances.get(instance)
             if registered is not None and sequence >= registered.sequence:
                 self.registry.last_heartbeat_at[instance] = now
+            revived = self.registry.revive(instance, sequence, now)
+            if revived is not None:
+                self._announce(revived)
 
     def merge(self, instances: tuple[Instance, ...]) -> None:
         """Merges instances received from elsewhere, and publishes those that changed."""
@@ -212,7 +221,7 @@
     def tick(self, now: float) -> None:
         """Reports received heartbeats to the keepers once per HEARTBEAT_REPORT_INTERVAL_S.
 
-        Also saves unsaved changes, and ends instances that sent no heartbeat for FORGET_AFTER_S.
+        Also saves unsaved changes, and drops instances that sent no heartbeat for FORGET_AFTER_S.
         """
         if now < self._next_report_at:
             return
@@ -224,4 +233,13 @@
         if self._has_unsaved_changes and self._store is not None:
             self._has_unsaved_changes = False
             self._store.save(self.registry.snapshot())
-        self.registry.expire(self.registry.silent(now, FORGET_AFTER_S))
+        self._expire_silent(now)
+
+    def _expire_silent(self, now: float) -> None:
+        """Drops the instances that were silent for FORGET_AFTER_S while this keeper could hear them."""
+        elapsed, self._last_report_at = now - self._last_report_at, now
+        if elapsed > MAX_REPORT_GAP_S or not self._in_touch(now):
+            self.registry.postpone_expiry(elapsed)
+        for instance in self.registry.expire(self.registry.silent(now, FORGET_AFTER_S)):
+            self._has_unsaved_changes = True
+            log.info("worker expired", extra={"instance": instance.id, "backend": instance.backend})
