Router: a 421 to a client's Expect-Version says nothing of the worker

What callers saw: three requests of one client with Expect-Version: 0, which six workers declined with 421, took all six out of service at that router; all other requests got 503.

Cause: each 421 was taken for "another instance has this address". A worker gives it, too, to a client that expects a version which the worker does not hold.

A 421 to a request with Expect-Version now counts as not sent: it proves that the request has not run, and changes neither the worker's place in the fleet nor its limit here. A mismatch is still noticed by any other request.

--- a/pebbledrift/router/attempt.py
+++ b/pebbledrift/router/attempt.py
@@ -160,16 +160,21 @@
             self.owner.response_complete(self, bytes(self._unary_body))
 
     def _report_if_not_executed(self) -> bool:
-        """Reports the attempt as refused if the worker states that it has not run the request.
+        """Reports the attempt as not run if the worker states that it has not run the request.
 
-        Status 421 also means that another instance has the address now.
+        Status 421 also means that another instance has the address now, unless the client itself named a
+        version that the worker may not have: that says nothing of the worker.
         """
         assert self.response is not None
+        kind = OutcomeKind.REFUSED
         if self.response.status == 421:
-            self.owner.instance_mismatch(self.instance)
+            if header_names.EXPECT_VERSION in self.owner.admitted.message.headers:
+                kind = OutcomeKind.NOT_SENT
+            else:
+                self.owner.instance_mismatch(self.instance)
         elif header_names.NOT_EXECUTED not in self.response.headers:
             return False
-        self.owner.attempt_failed(self, OutcomeKind.REFUSED)
+        self.owner.attempt_failed(self, kind)
         return True
 
     def exchange_failed(self, failure: ExchangeFailure) -> None:
--- a/pebbledrift/router/request.py
+++ b/pebbledrift/router/request.py
@@ -8,6 +8,7 @@
 REQUEST_ID = "x-pebbledrift-request-id"
 DEADLINE = "x-pebbledrift-deadline-ms"
 EXPECT_INSTANCE = "x-pebbledrift-expect-instance"
+EXPECT_VERSION = "expect-version"
 TENANT = "x-pebbledrift-tenant"
 TOKEN_COUNT = "x-pebbledrift-token-count"
 PROMPT_PREFIX = "x-pebbledrift-prompt-prefix"
--- a/tests/cluster/flow_harness.py
+++ b/tests/cluster/flow_harness.py
@@ -184,9 +184,9 @@
         """The worker's end of the newest connection."""
         return self.pool.workers[-1]
 
-    async def request(self, request_id: str, route: Route) -> Exchanged:
-        """Starts a request and its first attempt."""
-        exchanged = Exchanged(self, request_id, route)
+    async def request(self, request_id: str, route: Route, **headers: str) -> Exchanged:
+        """Starts a request, with further headers, and its first attempt."""
+        exchanged = Exchanged(self, request_id, route, **headers)
         await exchanged.attempt()
         return exchanged
 
@@ -194,10 +194,11 @@
 class Exchanged:
     """One client request: its flow, its client, and the outcomes of its attempts."""
 
-    def __init__(self, harness: FlowHarness, request_id: str, route: Route) -> None:
+    def __init__(self, harness: FlowHarness, request_id: str, route: Route, **more_headers: str) -> None:
         self.harness, self.client, self.decisions = harness, Client(), Decisions()
         self._attempts = 0
         headers = {"host": "a.example", "x-pebbledrift-request-id": request_id}
+        headers |= {name.replace("_", "-"): value for name, value in more_headers.items()}
         message = Message("POST", "/x/1", headers, True, bytearray(b"{}"))
         deadline = asyncio.get_running_loop().time() + TIME_LIMIT_S
         admitted = Admitted(request_id, message, route, None, False, deadline, None, None, None, 0.0)
