Keeper: the entry of its folder is made durable, and those of the folders above that it creates

After a loss of power the folder could be missing, and with it all that the keeper had acknowledged.

The entry is synced also where the folder exists, as the process that made it may have been killed before it had done so.

test_the_entries_of_new_directories_are_durable failed before, in all four variants.

--- a/pebbledrift/chain/files.py
+++ b/pebbledrift/chain/files.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 from pathlib import Path
 from typing import Protocol
@@ -59,8 +60,16 @@
             return {}
 
     def make_directory(self, directory: Path) -> None:
-        """Creates a directory and its parents if they do not exist."""
+        """Creates a directory and its parents if they do not exist, and makes their entries durable.
+
+        The entry of a directory that exists is synced too: the process that created it may have been killed
+        before it had done so. A parent that may not be read is left to its owner.
+        """
+        missing = [path for path in directory.parents if not path.exists()]
         directory.mkdir(parents=True, exist_ok=True)
+        for parent in {directory.parent, *(path.parent for path in missing)}:
+            with contextlib.suppress(PermissionError):
+                self.sync_directory(parent)
 
     def open(self, path: Path, truncate: bool = False) -> int:
         """Opens a file for reading and writing; `truncate` empties it, or creates it if it does not exist."""
--- a/tests/cluster/test_storage.py
+++ b/tests/cluster/test_storage.py
@@ -9,6 +9,7 @@
 import pytest
 
 from pebbledrift.chain import slots
+from pebbledrift.chain.files import SystemFiles
 from pebbledrift.chain.log import ReplicatedLog
 from pebbledrift.chain.messages import Entry, Identity, Image, Snapshot, Vote
 from pebbledrift.chain.storage import Storage
@@ -22,6 +23,19 @@
 VOTE = Vote((3, 1, "a:1/0"), (0, 0, ""), None)
 
 
+@pytest.mark.parametrize("existing", ["", "a", "a/b", "a/b/c"])
+def test_the_entries_of_new_directories_are_durable(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, existing: str
+) -> None:
+    """Guards against a keeper whose folder, with all that it acknowledged, is gone after a loss of power."""
+    (tmp_path / existing).mkdir(parents=True, exist_ok=True)
+    synced: set[Path] = set()
+    monkeypatch.setattr(SystemFiles, "sync_directory", lambda self, directory: synced.add(directory))
+    SystemFiles().make_directory(tmp_path / "a" / "b" / "c")
+    new = {"": {".", "a", "a/b"}, "a": {"a", "a/b"}, "a/b": {"a/b"}, "a/b/c": {"a/b"}}[existing]
+    assert synced == {tmp_path / path for path in new}
+
+
 def entry(number: int) -> Entry:
     return Entry(3, number, change(number, number - 1, "x" * 80))
 
